--- /dev/null
+++ b/pkg/flow/server.go
@@ -0,0 +1,75 @@
+package flow
+
+import "lagoonramp.org/lagoonramp/pkg/rendez"
+
+// ServerSet is an immutable list of a service's backend servers.
+type ServerSet struct {
+	// IDs holds the hashes of the names of servers that take new flows.
+	IDs []uint64
+	// Holding holds the hashes of servers that keep their flows but take no
+	// new ones. It is disjoint from IDs.
+	Holding []uint64
+}
+
+// Loads tells how loaded a server is. Implementations must be safe for the
+// goroutine that owns the table.
+type Loads interface {
+	// Load returns the load of a server; higher is worse. A negative load
+	// means that the server takes nothing now.
+	Load(server uint64) float64
+}
+
+// LoadFunc makes Loads of a function.
+type LoadFunc func(server uint64) float64
+
+// Load calls f.
+func (f LoadFunc) Load(server uint64) float64 { return f(server) }
+
+// candidates returns the two servers that a flow's hash selects, 0 where
+// there is none.
+func (s *ServerSet) candidates(hash uint64) (first, second uint64) {
+	var buf [2]int
+	top := rendez.Top(hash, s.IDs, 2, buf[:0])
+	if len(top) > 0 {
+		first = s.IDs[top[0]]
+	}
+	if len(top) > 1 {
+		second = s.IDs[top[1]]
+	}
+	return first, second
+}
+
+// holds reports whether a server of the set may have flows pinned to it.
+func (s *ServerSet) holds(server uint64) bool {
+	for _, id := range s.IDs {
+		if id == server {
+			return true
+		}
+	}
+	for _, id := range s.Holding {
+		if id == server {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the candidate to take by load. The first candidate is kept
+// unless its load exceeds the second's by the margin, since every second
+// choice has to be told to the successor.
+func choose(first, second uint64, l Loads, margin float64) uint64 {
+	if second == 0 || l == nil {
+		return first
+	}
+	a := l.Load(first)
+	b := l.Load(second)
+	switch {
+	case b < 0:
+		return first
+	case a < 0:
+		return second
+	case a > b*(1+margin)+margin:
+		return second
+	}
+	return first
+}
--- /dev/null
+++ b/pkg/flow/table.go
@@ -0,0 +1,385 @@
+package flow
+
+import (
+	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/rendez"
+)
+
+const (
+	// maxHops bounds how often a datagram is passed on.
+	maxHops = 5
+	// claimLife is how long a redirect that was made by a claim is believed
+	// although the view does not show its holder.
+	claimLife = 10 * time.Second
+	// relinkAfter bounds how often a busy entry moves in the order of use.
+	relinkAfter = 500 * time.Millisecond
+)
+
+// Table is the flow table of one worker of a host.
+type Table struct {
+	set      Settings
+	view     *View
+	services map[uint64]*ServerSet
+	loads    Loads
+	slab     slab
+	// pending holds what is sought, by entry.
+	pending map[int32]*search
+	// due holds the searches in the order of their next try.
+	due []*search
+	// viewAt is when the view last changed.
+	viewAt time.Duration
+	// answered is when each server last answered any flow.
+	answered map[uint64]time.Duration
+	held     int
+	teller   teller
+	heard    heard
+}
+
+// search is an ask under way.
+type search struct {
+	// entry is the index of the entry that the search is for.
+	entry   int32
+	asked   []uint64
+	stash   []stashed
+	tries   int
+	retryAt time.Duration
+	server  uint64
+}
+
+type stashed struct {
+	payload []byte
+	hint    Hint
+}
+
+// NewTable returns an empty table. The loads may be nil; then the first
+// candidate is always taken.
+func NewTable(set Settings, loads Loads) *Table {
+	return &Table{
+		set:      set.withDefaults(),
+		view:     &View{},
+		services: map[uint64]*ServerSet{},
+		loads:    loads,
+		slab:     newSlab(),
+		pending:  map[int32]*search{},
+		answered: map[uint64]time.Duration{},
+		teller:   newTeller(),
+		heard:    newHeard(),
+	}
+}
+
+// SetView puts a member list in force. The table keeps v, which must not
+// change any more.
+func (t *Table) SetView(now time.Duration, v *View) {
+	if t.view.Equal(v) {
+		return
+	}
+	t.view = v
+	t.viewAt = now
+	t.teller.restart(now)
+}
+
+// SetServers puts the servers of all services in force, by service hash.
+// The table keeps the map, which must not change any more.
+func (t *Table) SetServers(now time.Duration, services map[uint64]*ServerSet) {
+	t.services = services
+	t.teller.restart(now)
+}
+
+// Held returns the number of flows that this table holds.
+func (t *Table) Held() int { return t.held }
+
+// Len returns the number of entries, redirects included.
+func (t *Table) Len() int { return len(t.slab.index) }
+
+// Server returns the server that a flow is pinned to here.
+func (t *Table) Server(key Key) (server uint64, ok bool) {
+	i, ok := t.slab.index[key]
+	if !ok || t.slab.entries[i].state != held {
+		return 0, false
+	}
+	return t.slab.entries[i].peer, true
+}
+
+// young reports whether flows may be held elsewhere that the redirects of
+// this table do not show: any flow that is alive had a datagram within the
+// idle timeout, and an owner keeps a redirect as long.
+func (t *Table) young(now time.Duration) bool {
+	return now-t.viewAt < t.set.IdleTimeout+claimLife
+}
+
+// Packet takes a datagram of a caller. The ingress is the host that answers
+// the caller, 0 for the fabric. It appends what to do to out and returns it.
+func (t *Table) Packet(now time.Duration, key Key, hint Hint, ingress uint64, payload []byte, out []Action) []Action {
+	m := Message{Key: key, Hint: hint, Ingress: ingress, Payload: payload}
+	return t.datagram(now, &m, out)
+}
+
+// Reply notes an answer of a flow's server. It returns the host that answers
+// the caller, 0 for the fabric, and whether the flow is held here.
+func (t *Table) Reply(now time.Duration, key Key) (ingress uint64, ok bool) {
+	i, ok := t.slab.index[key]
+	if !ok {
+		return 0, false
+	}
+	e := &t.slab.entries[i]
+	if e.state != held {
+		return 0, false
+	}
+	e.unanswered = 0
+	t.touch(now, i)
+	e.lastOut = now
+	t.answered[e.peer] = now
+	return e.ingress, true
+}
+
+// touch moves an entry in the order of use if it was not moved lately.
+func (t *Table) touch(now time.Duration, i int32) {
+	e := &t.slab.entries[i]
+	if now-max(e.lastIn, e.lastOut) >= relinkAfter || t.slab.head < 0 {
+		t.slab.toHead(i)
+	}
+}
+
+// datagram handles a datagram from a caller or another host.
+func (t *Table) datagram(now time.Duration, m *Message, out []Action) []Action {
+	i, known := t.slab.index[m.Key]
+	if !known {
+		return t.miss(now, m, out)
+	}
+	e := &t.slab.entries[i]
+	switch e.state {
+	case held:
+		return t.deliver(now, i, m, out)
+	case redirected:
+		if !t.believes(now, e) || e.peer == m.From {
+			t.slab.remove(i)
+			return t.miss(now, m, out)
+		}
+		t.touch(now, i)
+		e.lastIn = now
+		return t.pass(m, e.peer, true, out)
+	default:
+		return t.keep(i, m, out)
+	}
+}
+
+// believes reports whether a redirect may still be followed.
+func (t *Table) believes(now time.Duration, e *entry) bool {
+	return t.view.Knows(e.peer) || now-e.since < claimLife
+}
+
+// deliver sends a datagram of a held flow to its server.
+func (t *Table) deliver(now time.Duration, i int32, m *Message, out []Action) []Action {
+	e := &t.slab.entries[i]
+	if t.silent(now, e) {
+		key := e.key
+		out = t.end(i, ReasonSilent, out)
+		i = t.slab.add(key)
+		return t.open(now, i, m, 0, out)
+	}
+	t.touch(now, i)
+	e.lastIn = now
+	e.ingress = m.Ingress
+	if e.unanswered < ^uint16(0) {
+		e.unanswered++
+	}
+	e.closing = m.Hint == HintCloses
+	return append(out, Action{Kind: ToServer, Key: e.key, Server: e.peer, Payload: m.Payload})
+}
+
+// silent reports whether a flow was answered before, is not any more, and
+// its server still answers others.
+func (t *Table) silent(now time.Duration, e *entry) bool {
+	if t.set.SilentAfter < 0 || e.lastOut == 0 || int(e.unanswered) < t.set.SilentPackets {
+		return false
+	}
+	if now-e.lastOut < t.set.SilentAfter {
+		return false
+	}
+	return now-t.answered[e.peer] < t.set.SilentAfter/2
+}
+
+// miss handles a datagram of a flow that has no entry.
+func (t *Table) miss(now time.Duration, m *Message, out []Action) []Action {
+	if m.Redirected {
+		back := *m
+		back.Kind = Bounce
+		back.From = t.view.Self
+		back.To = m.From
+		back.Redirected = false
+		return append(out, Action{Kind: ToHost, Key: m.Key, Message: back})
+	}
+	hash := m.Key.Hash()
+	owner := t.view.Owner(hash)
+	if owner == 0 {
+		return append(out, Action{Kind: Dropped, Key: m.Key, Reason: ReasonNoHost})
+	}
+	if owner != t.view.Self && owner != m.From && m.Hops < maxHops-2 {
+		return t.pass(m, owner, false, out)
+	}
+	return t.seek(now, hash, m, out)
+}
+
+// pass hands a datagram to another host.
+func (t *Table) pass(m *Message, to uint64, redirect bool, out []Action) []Action {
+	if m.Hops >= maxHops {
+		return append(out, Action{Kind: Dropped, Key: m.Key, Reason: ReasonHops})
+	}
+	next := *m
+	next.Kind = Forward
+	next.From = t.view.Self
+	next.To = to
+	next.Hops++
+	next.Redirected = redirect
+	return append(out, Action{Kind: ToHost, Key: m.Key, Message: next})
+}
+
+// seek asks the hosts that may hold a flow, or opens it if there is nobody
+// to ask.
+func (t *Table) seek(now time.Duration, hash uint64, m *Message, out []Action) []Action {
+	var ok bool
+	out, ok = t.room(now, out)
+	if !ok {
+		return append(out, Action{Kind: Dropped, Key: m.Key, Reason: ReasonFull})
+	}
+	if !t.young(now) {
+		return t.open(now, t.slab.add(m.Key), m, 0, out)
+	}
+	if len(t.pending) >= t.set.MaxAsking {
+		return append(out, Action{Kind: Dropped, Key: m.Key, Reason: ReasonFull})
+	}
+	asked := t.view.askable(hash, t.set.AskWidth, nil)
+	i := t.slab.add(m.Key)
+	if len(asked) == 0 {
+		return t.open(now, i, m, 0, out)
+	}
+	e := &t.slab.entries[i]
+	e.state = asking
+	e.since = now
+	e.lastIn = now
+	e.ingress = m.Ingress
+	s := &search{entry: i, asked: asked, tries: 1, retryAt: now + t.set.AskTimeout}
+	t.pending[i] = s
+	t.due = append(t.due, s)
+	out = t.ask(i, out)
+	return t.keep(i, m, out)
+}
+
+// ask sends an Ask to each host that has not answered yet.
+func (t *Table) ask(i int32, out []Action) []Action {
+	key := t.slab.entries[i].key
+	for _, h := range t.pending[i].asked {
+		m := Message{Kind: Ask, From: t.view.Self, To: h, Key: key}
+		out = append(out, Action{Kind: ToHost, Key: key, Message: m})
+	}
+	return out
+}
+
+// keep stores a datagram until its flow's holder is known.
+func (t *Table) keep(i int32, m *Message, out []Action) []Action {
+	s := t.pending[i]
+	if len(s.stash) >= t.set.MaxStash {
+		return append(out, Action{Kind: Dropped, Key: m.Key, Reason: ReasonFull})
+	}
+	t.slab.entries[i].ingress = m.Ingress
+	s.stash = append(s.stash, stashed{payload: append([]byte(nil), m.Payload...), hint: m.Hint})
+	return out
+}
+
+// room makes room for an entry. It evicts the least used entry only if that
+// one is idle, so that no live flow is broken for a new one.
+func (t *Table) room(now time.Duration, out []Action) ([]Action, bool) {
+	if len(t.slab.index) < t.set.MaxFlows {
+		return out, true
+	}
+	i := t.slab.tail
+	e := &t.slab.entries[i]
+	if e.state == asking || now-max(e.lastIn, e.lastOut) < t.set.IdleTimeout/4 {
+		return out, false
+	}
+	return t.end(i, ReasonEvicted, out), true
+}
+
+// end removes an entry. A held flow is reported.
+func (t *Table) end(i int32, why Reason, out []Action) []Action {
+	e := &t.slab.entries[i]
+	if e.state == held {
+		t.held--
+		out = append(out, Action{Kind: Ended, Key: e.key, Server: e.peer, Reason: why})
+	}
+	delete(t.pending, i)
+	t.slab.remove(i)
+	return out
+}
+
+// open pins a new entry to a server and delivers m if it is not nil. The
+// server known is what another host reported for recovery, or 0.
+func (t *Table) open(now time.Duration, i int32, m *Message, known uint64, out []Action) []Action {
+	e := &t.slab.entries[i]
+	hint := HintNone
+	if m != nil {
+		hint = m.Hint
+	}
+	hash := e.key.Hash()
+	server := t.pick(now, e.key.Service, hash, hint, known)
+	if server == 0 {
+		key := e.key
+		t.slab.remove(i)
+		return append(out, Action{Kind: Dropped, Key: key, Reason: ReasonNoServer})
+	}
+	e.state = held
+	e.peer = server
+	e.since = now
+	e.lastIn = now
+	t.held++
+	t.consider(now, e, hash)
+	out = append(out, Action{Kind: Opened, Key: e.key, Server: server})
+	if m == nil {
+		return out
+	}
+	return t.deliver(now, i, m, out)
+}
+
+// pick chooses a server for a flow that nobody holds.
+func (t *Table) pick(now time.Duration, service, hash uint64, hint Hint, known uint64) uint64 {
+	set := t.services[service]
+	if set == nil {
+		return 0
+	}
+	first, second := set.candidates(hash)
+	if hint != HintOpens && t.young(now) {
+		if known == 0 {
+			known = t.heard.server(hash, second)
+		}
+		if known != 0 && set.holds(known) {
+			return known
+		}
+		if t.view.ownedByLost(hash) {
+			return first
+		}
+	}
+	server := choose(first, second, t.loads, t.set.Margin)
+	if server != 0 && t.loads != nil && t.loads.Load(server) < 0 {
+		server = t.leastLoaded(set, hash)
+	}
+	return server
+}
+
+// leastLoaded returns the server with the least load, 0 if none takes work.
+// Among equals the flow's hash decides.
+func (t *Table) leastLoaded(set *ServerSet, hash uint64) uint64 {
+	var best, top uint64
+	low := 0.0
+	for _, id := range set.IDs {
+		l := t.loads.Load(id)
+		if l < 0 {
+			continue
+		}
+		s := rendez.Score(hash, id)
+		if best == 0 || l < low || l == low && s > top {
+			best, low, top = id, l, s
+		}
+	}
+	return best
+}
