Let flow tests choose servers at random

Cause: without loads every owner chose the first candidate, so a flow that was opened twice still reached one server and four of five cases could not fail. Change: random loads. Before, with asks switched off: 1 of 5 cases failed. After: 5 of 5 fail with asks off, 0 with asks on.

--- a/pkg/flow/table_test.go
+++ b/pkg/flow/table_test.go
@@ -95,8 +95,11 @@
 			n := newFakeNet(7)
 			n.loss, n.double = s.loss, s.double
 			n.aged()
+			// Random loads make hosts choose differently, so that a flow that is
+			// opened twice is seen.
+			loads := LoadFunc(func(uint64) float64 { return n.rng.Float64() })
 			for _, id := range h {
-				n.add(id, serverSets(names("server", 14)), Settings{SilentAfter: -1}, nil)
+				n.add(id, serverSets(names("server", 14)), Settings{SilentAfter: -1}, loads)
 			}
 			n.hosts[h[0]].viewAt, n.hosts[h[1]].viewAt, n.hosts[h[2]].viewAt = 0, 0, 0
 			old := View{Active: sortedIDs(h[:3]...)}
