--- /dev/null
+++ b/pkg/conf/commit_test.go
@@ -0,0 +1,271 @@
+package conf_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/internal/fakes"
+	"lagoonramp.org/lagoonramp/pkg/conf"
+	"lagoonramp.org/lagoonramp/pkg/store"
+)
+
+func newStore(t *testing.T) (*fakes.Platform, *store.Client) {
+	t.Helper()
+	p := fakes.NewPlatform()
+	srv := httptest.NewServer(p)
+	c := store.New(store.Settings{URL: srv.URL, CallsPerSecond: 1e6, Burst: 1e6})
+	t.Cleanup(func() { c.Close(); srv.Close() })
+	return p, c
+}
+
+func section(port int, state conf.State) conf.Section {
+	return conf.Section{Services: []conf.Service{{
+		Name:     fmt.Sprintf("svc-%d", port),
+		Address:  fmt.Sprintf("192.0.2.1:%d", port),
+		Protocol: conf.UDP,
+		Servers: []conf.Server{{
+			Name: "s1", Address: fmt.Sprintf("192.0.2.9:%d", port), DataCentre: "sapporo",
+			Slots: 3, Connections: 2000, State: state,
+		}},
+	}}}
+}
+
+func edit(team, id string, base uint64, s conf.Section) conf.Edit {
+	return conf.Edit{Team: team, Section: s, Base: base, Who: "ops", ID: id, At: time.Unix(0, 0)}
+}
+
+func TestPutThenConflict(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, kv := newStore(t)
+	c := &conf.Committer{KV: kv}
+	first, err := c.Put(ctx, edit("desk", "a", 0, section(80, conf.Active)))
+	is.NoErr(err)
+	is.Equal(first.Revision, uint64(1))
+	_, err = c.Put(ctx, edit("press", "b", 0, section(81, conf.Active)))
+	is.NoErr(err) // Another team's commit in between is no conflict.
+	_, err = c.Put(ctx, edit("desk", "c", 1, section(80, conf.Draining)))
+	is.NoErr(err)
+	_, err = c.Put(ctx, edit("desk", "d", 1, section(80, conf.Active)))
+	var conflict *conf.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Current, uint64(3))
+	is.Equal(conflict.Theirs.Services[0].Servers[0].State, conf.Draining)
+}
+
+func TestWholeDocumentIsChecked(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, kv := newStore(t)
+	c := &conf.Committer{KV: kv}
+	_, err := c.Put(ctx, edit("desk", "a", 0, section(80, conf.Active)))
+	is.NoErr(err)
+	_, err = c.Put(ctx, edit("press", "b", 0, section(80, conf.Active)))
+	var check *conf.CheckError
+	is.True(errors.As(err, &check))
+	is.Equal(len(check.Faults), 3) // Name, service address and server address.
+}
+
+func TestLostAnswersAreSettled(t *testing.T) {
+	for lost := 1; lost <= 4; lost++ {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			is := is.New(t)
+			p, kv := newStore(t)
+			p.SetFaults(fakes.PlatformFaults{LoseAnswers: lost})
+			c := &conf.Committer{KV: kv}
+			got, err := c.Put(context.Background(), edit("desk", "a", 0, section(80, conf.Active)))
+			is.NoErr(err)
+			again, err := c.Put(context.Background(), edit("desk", "a", 0, section(80, conf.Active)))
+			is.NoErr(err)
+			is.Equal(got.Revision, again.Revision)
+			h, _, err := conf.ReadHead(context.Background(), kv)
+			is.NoErr(err)
+			is.Equal(h.Revision, uint64(1)) // Committed once.
+		})
+	}
+}
+
+func TestPlatformBackInTimeChangesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	p, kv := newStore(t)
+	c := &conf.Committer{KV: kv}
+	_, err := c.Put(ctx, edit("desk", "a", 0, section(80, conf.Active)))
+	is.NoErr(err)
+	restore := p.Snapshot()
+	last, err := c.Put(ctx, edit("desk", "b", 1, section(80, conf.Draining)))
+	is.NoErr(err)
+	restore()
+	c.Seen = last.Revision
+	_, err = c.Put(ctx, edit("desk", "c", 1, section(80, conf.Leaving)))
+	var behind *conf.BehindError
+	is.True(errors.As(err, &behind))
+	h, _, err := conf.ReadHead(ctx, kv)
+	is.NoErr(err)
+	is.Equal(h.Revision, uint64(1))
+}
+
+// swapInput and swapOutput describe one edit in a recorded history.
+type swapInput struct {
+	read bool
+	base uint64
+}
+
+type swapOutput struct {
+	revision uint64
+	ok       bool
+}
+
+// sectionModel is one section's revision as a register that an edit moves
+// only from its base.
+var sectionModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		s := state.(uint64)
+		in := input.(swapInput)
+		out := output.(swapOutput)
+		switch {
+		case in.read:
+			return out.revision == s, s
+		case out.ok:
+			return in.base == s && out.revision > s, out.revision
+		}
+		return in.base != s, s // A conflict is true only if the base was old.
+	},
+}
+
+func TestHistoriesOfRacingEditsAreLinearizable(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			p, kv := newStore(t)
+			is.True(porcupine.CheckOperations(sectionModel, raceEdits(p, kv, seed)))
+		})
+	}
+}
+
+// raceEdits lets clients edit one section at once while answers get lost.
+func raceEdits(p *fakes.Platform, kv *store.Client, seed uint64) []porcupine.Operation {
+	var (
+		mu  sync.Mutex
+		ops []porcupine.Operation
+		wg  sync.WaitGroup
+	)
+	epoch := time.Now()
+	for client := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rng := rand.New(rand.NewPCG(seed, uint64(client)))
+			for n := range 8 {
+				if rng.IntN(3) == 0 {
+					p.SetFaults(fakes.PlatformFaults{LoseAnswers: 1 + rng.IntN(2)})
+				}
+				c := &conf.Committer{KV: kv}
+				began := time.Since(epoch)
+				h, _, err := conf.ReadHead(context.Background(), kv)
+				if err != nil {
+					continue
+				}
+				base := h.Sections["desk"].Revision
+				read := porcupine.Operation{
+					ClientId: client, Call: int64(began), Return: int64(time.Since(epoch)),
+					Input: swapInput{read: true}, Output: swapOutput{revision: base},
+				}
+				began = time.Since(epoch)
+				e := edit("desk", fmt.Sprintf("%d-%d", client, n), base, section(1000+client*100+n, conf.Active))
+				commit, err := c.Put(context.Background(), e)
+				var conflict *conf.ConflictError
+				if err != nil && !errors.As(err, &conflict) {
+					panic(err)
+				}
+				put := porcupine.Operation{
+					ClientId: client, Call: int64(began), Return: int64(time.Since(epoch)),
+					Input:  swapInput{base: base},
+					Output: swapOutput{revision: commit.Revision, ok: err == nil},
+				}
+				mu.Lock()
+				ops = append(ops, read, put)
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return ops
+}
+
+func TestAdopterOnlyGoesUp(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, kv := newStore(t)
+	c := &conf.Committer{KV: kv}
+	var heads []*conf.Head
+	bodies := map[string][]byte{}
+	for i, s := range []conf.State{conf.Active, conf.Draining} {
+		sec := section(80, s)
+		_, err := c.Put(ctx, edit("desk", fmt.Sprint(i), uint64(i), sec))
+		is.NoErr(err)
+		h, _, err := conf.ReadHead(ctx, kv)
+		is.NoErr(err)
+		heads = append(heads, h)
+		bodies[conf.Digest(conf.Encode(sec))] = conf.Encode(sec)
+	}
+	var a conf.Adopter
+	ok, _, err := a.Offer(heads[1], bodies, conf.FromPeer)
+	is.NoErr(err)
+	is.True(ok)
+	ok, alarm, _ := a.Offer(heads[0], bodies, conf.FromPlatform)
+	is.True(!ok)
+	is.Equal(alarm, conf.AlarmBack)
+	fork := *heads[1]
+	fork.Sections = heads[0].Sections
+	_, alarm, _ = a.Offer(&fork, bodies, conf.FromPeer)
+	is.Equal(alarm, conf.AlarmFork)
+	next := *heads[1]
+	next.Revision = 3
+	next.Sections = map[string]conf.SectionRef{"desk": {Revision: 3, Digest: "00"}}
+	_, alarm, _ = a.Offer(&next, map[string][]byte{"00": []byte("{}")}, conf.FromPeer)
+	is.Equal(alarm, conf.AlarmDamaged)
+	is.Equal(a.Revision(), uint64(2))
+}
+
+func TestDecodeNamesLineAndField(t *testing.T) {
+	is := is.New(t)
+	var d conf.Document
+	err := conf.Decode([]byte("{\n\"teams\": {\"a\": {\"services\": [\n{\"nam\": 1}]}}}"), &d)
+	is.True(err != nil && strings.Contains(err.Error(), "nam") && strings.Contains(err.Error(), "line 3"))
+	err = conf.Decode([]byte("{\"teams\": {\"a\": {\"services\": [{\"port\": 1, \"name\": 1}]}}}"), &d)
+	is.True(err != nil)
+}
+
+func TestDocumentAtTheTargetFits(t *testing.T) {
+	is := is.New(t)
+	d := conf.Document{Teams: map[string]conf.Section{}}
+	for team := range 60 {
+		var s conf.Section
+		for svc := range 34 {
+			n := team*34 + svc
+			service := conf.Service{Name: fmt.Sprintf("service-%d", n), Protocol: conf.TCP,
+				Address: fmt.Sprintf("198.51.%d.%d:443", n/250, n%250+1)}
+			for k := range 3 {
+				service.Servers = append(service.Servers, conf.Server{
+					Name: fmt.Sprintf("server-%d", k), Address: fmt.Sprintf("10.%d.%d.%d:8443", k, n/250, n%250+1),
+					DataCentre: "se-east-a", Slots: 3, Connections: 2000, State: conf.Active})
+			}
+			s.Services = append(s.Services, service)
+		}
+		is.True(len(conf.Encode(s)) < store.MaxValue/8)
+		d.Teams[fmt.Sprintf("team-%d", team)] = s
+	}
+	is.NoErr(conf.Check(&d))
+}
