Share the servers' slots between hosts without a coordinator

Cause: a server has two or three slots and seven hosts want them. Change: pkg/slots gives each slot a home by rendezvous hashing with bounded loads; homes lend, borrowers renew and return. Conclusion: the bound holds while hosts agree; a change rests 2 s.

--- /dev/null
+++ b/pkg/slots/book_test.go
@@ -0,0 +1,168 @@
+package slots
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/pkg/rendez"
+)
+
+func hosts(n int) []uint64 {
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = rendez.Hash(fmt.Sprintf("host-%d", i))
+	}
+	return out
+}
+
+func servers(n, each int) []Server {
+	out := make([]Server, n)
+	for i := range out {
+		out[i] = Server{ID: rendez.Hash(fmt.Sprintf("server-%d", i)), Slots: each}
+	}
+	return out
+}
+
+func TestHomesAreEven(t *testing.T) {
+	is := is.New(t)
+	load := map[uint64]int{}
+	for _, h := range Homes(1, hosts(7), servers(14, 3)) {
+		load[h]++
+	}
+	for _, n := range load {
+		is.Equal(n, 6)
+	}
+}
+
+// world runs books of several hosts; messages may be lost or doubled.
+type world struct {
+	now   time.Duration
+	rng   *rand.Rand
+	books map[uint64]*Book
+	mail  []Message
+	loss  float64
+	held  map[uint64][]Slot
+	// use counts the requests at each server.
+	use map[uint64]int
+}
+
+func (w *world) post(out []Message) {
+	for _, m := range out {
+		if w.rng.Float64() >= w.loss {
+			w.mail = append(w.mail, m)
+		}
+	}
+}
+
+// step lets every host start and end requests at random and handle its mail.
+func (w *world) step(ids []uint64) {
+	w.now += 5 * time.Millisecond
+	mail := w.mail
+	w.mail = nil
+	for _, m := range mail {
+		if b := w.books[m.To]; b != nil {
+			c := m
+			w.post(b.Receive(w.now, &c, b.Total()-b.Busy(), nil))
+		}
+	}
+	for _, h := range ids {
+		b := w.books[h]
+		if held := w.held[h]; len(held) > 0 && w.rng.IntN(3) == 0 {
+			s := held[0]
+			w.held[h] = held[1:]
+			w.use[s.ID.Server]--
+			w.post(b.Release(w.now, s, w.rng.IntN(2) == 0, nil))
+		}
+		var free []uint64
+		b.Free(w.now, func(server uint64, _ int) { free = append(free, server) })
+		if len(free) > 0 && w.rng.IntN(2) == 0 {
+			s, ok := b.Acquire(w.now, free[w.rng.IntN(len(free))])
+			if ok {
+				w.held[h] = append(w.held[h], s)
+				w.use[s.ID.Server]++
+			}
+		} else if len(free) == 0 {
+			w.post(b.Need(w.now, 2, nil))
+		}
+		w.post(b.Tick(w.now, len(free) == 0, nil))
+	}
+}
+
+func TestSlotsAreNeverExceededWhileHostsAgree(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			ids := hosts(7)
+			w := &world{rng: rand.New(rand.NewPCG(seed, 1)), books: map[uint64]*Book{}, loss: 0.05,
+				held: map[uint64][]Slot{}, use: map[uint64]int{}}
+			for _, h := range ids {
+				w.books[h] = NewBook(1, h, Settings{})
+				w.books[h].Set(0, ids, servers(4, 3))
+			}
+			most := 0
+			for range 4000 {
+				w.step(ids)
+				for _, n := range w.use {
+					is.True(n <= 3)
+					most = max(most, n)
+				}
+			}
+			is.Equal(most, 3) // The slots were used fully.
+		})
+	}
+}
+
+func TestBorrowerThatDiesIsForgotten(t *testing.T) {
+	is := is.New(t)
+	ids := hosts(2)
+	a, b := NewBook(1, ids[0], Settings{}), NewBook(1, ids[1], Settings{})
+	a.Set(0, ids, servers(2, 2))
+	b.Set(0, ids, servers(2, 2))
+	want := a.Need(0, 1, nil)
+	grant := b.Receive(0, &want[0], 2, nil)
+	is.Equal(len(grant[0].Slots), 1)
+	is.Equal(b.Total(), 1)
+	b.Tick(2*time.Second, false, nil)
+	is.Equal(b.Total(), 1)
+	b.Tick(4*time.Second, false, nil)
+	is.Equal(b.Total(), 2)
+}
+
+func TestNewHomeRests(t *testing.T) {
+	is := is.New(t)
+	ids := hosts(3)
+	b := NewBook(1, ids[0], Settings{})
+	b.Set(0, ids, servers(3, 2))
+	before := b.Total()
+	b.Set(time.Second, ids[:2], servers(3, 2))
+	is.True(b.Total() > before)
+	free := 0
+	count := func(_ uint64, n int) { free += n }
+	b.Free(time.Second, count)
+	is.Equal(free, before)
+	free = 0
+	b.Free(4*time.Second, count)
+	is.Equal(free, b.Total())
+}
+
+func TestSlotThatLosesItsHomeWhileBusy(t *testing.T) {
+	is := is.New(t)
+	ids := hosts(1)
+	b := NewBook(1, ids[0], Settings{})
+	srv := servers(1, 1)
+	b.Set(0, ids, srv)
+	s, ok := b.Acquire(0, srv[0].ID)
+	is.True(ok)
+	b.Set(time.Second, nil, srv)
+	is.Equal(b.Busy(), 1)
+	b.Set(2*time.Second, ids, srv)
+	_, ok = b.Acquire(10*time.Second, srv[0].ID)
+	is.True(!ok) // The request still runs.
+	b.Release(10*time.Second, s, false, nil)
+	_, ok = b.Acquire(10*time.Second, srv[0].ID)
+	is.True(ok)
+}
