--- a/pkg/memb/machine.go
+++ b/pkg/memb/machine.go
@@ -199,6 +199,16 @@
 	m.generation++
 }
 
+// SetForgot sets what the host says of its memory.
+func (m *Machine) SetForgot(forgot bool) {
+	if m.self.Forgot == forgot {
+		return
+	}
+	m.self.Forgot = forgot
+	m.self.Incarnation++
+	m.generation++
+}
+
 // Goodbye returns the messages that say that the host is gone.
 func (m *Machine) Goodbye() []Send {
 	m.self.Health = Left
@@ -531,11 +541,11 @@
 	r.changed = now
 	m.spread(r)
 	same := was.Health == news.Health || was.Health == Alive && news.Health == Suspect || was.Health == Suspect && news.Health == Alive
-	if same && was.Leaving == news.Leaving && was.Address == news.Address && was.Web == news.Web {
+	if same && was.Leaving == news.Leaving && was.Address == news.Address && was.Forgot == news.Forgot {
 		return
 	}
 	m.generation++
-	restarted := was.Health == Alive && news.Health == Alive && was.Address != news.Address
+	restarted := was.Health == Alive && news.Health == Alive && news.Forgot && !was.Forgot
 	m.events = append(m.events, Event{Member: r.Member, Restarted: restarted})
 }
 
--- a/pkg/memb/member.go
+++ b/pkg/memb/member.go
@@ -31,16 +31,18 @@
 type Member struct {
 	// Name is unique in the data centre.
 	Name string `json:"name"`
-	// Address is where the host takes peers' datagrams, as IP:port.
+	// Address is where the host takes peers' datagrams and HTTP requests, as
+	// IP:port.
 	Address string `json:"address"`
-	// Web is where the host takes peers' HTTP requests, as IP:port.
-	Web string `json:"web,omitempty"`
 	// Incarnation grows with each start and each refutation of the host.
 	Incarnation uint64 `json:"incarnation"`
 	// Health is what is believed of the host.
 	Health Health `json:"health"`
 	// Leaving tells that the host takes no new flows.
 	Leaving bool `json:"leaving,omitempty"`
+	// Forgot tells that the host was restarted not long ago and lost what its
+	// former process knew.
+	Forgot bool `json:"forgot,omitempty"`
 }
 
 // ID returns the hash of the member's name.
--- /dev/null
+++ b/pkg/spread/machine_test.go
@@ -0,0 +1,139 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/pkg/rendez"
+)
+
+func ids(n int) []uint64 {
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = rendez.Hash(fmt.Sprintf("host-%d", i))
+	}
+	return out
+}
+
+func TestFewHostsWatch(t *testing.T) {
+	is := is.New(t)
+	hosts := ids(90)
+	watchers := 0
+	for _, h := range hosts {
+		m := New(h, Settings{}, rand.New(rand.NewPCG(1, h)))
+		m.SetHosts(hosts)
+		if m.Watches() {
+			watchers++
+		}
+	}
+	is.Equal(watchers, 2)
+}
+
+func TestFailedPeerIsLeftForAnother(t *testing.T) {
+	is := is.New(t)
+	hosts := ids(3)
+	m := New(hosts[0], Settings{}, rand.New(rand.NewPCG(1, 1)))
+	m.SetHosts(hosts)
+	f := m.Heard(time.Second, hosts[1], 5)
+	is.Equal(f.Peer, hosts[1])
+	is.True(m.Heard(time.Second, hosts[2], 5) == nil) // One at a time.
+	m.Failed(2*time.Second, *f)
+	is.True(m.Tick(2*time.Second) == nil)
+	f = m.Tick(3 * time.Second)
+	is.Equal(f.Peer, hosts[2])
+	f = m.Tick(5 * time.Second) // It hung.
+	is.True(f == nil)
+	f = m.Tick(6 * time.Second)
+	is.Equal(f.Peer, hosts[1])
+	m.Adopted(5)
+	is.True(m.Tick(20*time.Second) == nil)
+}
+
+// TestInForceWithinTheGoal spreads revisions from two watchers over 90 hosts
+// with 5% loss, in virtual time, in steps of 10 ms. The goal of the brief is
+// 4 s.
+func TestInForceWithinTheGoal(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			is.True(spreadTime(seed, 90, 0.05) < 4*time.Second)
+		})
+	}
+}
+
+// spreadTime returns how long a revision takes to reach all hosts.
+func spreadTime(seed uint64, n int, loss float64) time.Duration {
+	const step = 10 * time.Millisecond
+	rng := rand.New(rand.NewPCG(seed, 5))
+	hosts := ids(n)
+	index := map[uint64]int{}
+	machines := make([]*Machine, n)
+	for i, h := range hosts {
+		index[h] = i
+		machines[i] = New(h, Settings{}, rand.New(rand.NewPCG(seed, h)))
+		machines[i].SetHosts(hosts)
+	}
+	revision := make([]uint64, n)
+	type action struct {
+		at  time.Duration
+		run func(now time.Duration)
+	}
+	var later []action
+	var adopt func(now time.Duration, i int)
+	fetch := func(now time.Duration, i int, f *Fetch) {
+		if f == nil {
+			return
+		}
+		later = append(later, action{now + 2*step, func(now time.Duration) {
+			if rng.Float64() < loss {
+				machines[i].Failed(now, *f)
+				return
+			}
+			adopt(now, i)
+		}})
+	}
+	adopt = func(now time.Duration, i int) {
+		revision[i] = 1
+		for _, to := range machines[i].Adopted(1) {
+			if rng.Float64() < loss {
+				continue
+			}
+			later = append(later, action{now + step, func(now time.Duration) {
+				fetch(now, index[to], machines[index[to]].Heard(now, hosts[i], 1))
+			}})
+		}
+	}
+	for i := range machines {
+		if machines[i].Watches() {
+			adopt(0, i)
+		}
+	}
+	for now := step; now < time.Minute; now += step {
+		due := later
+		later = nil
+		for _, a := range due {
+			if a.at <= now {
+				a.run(now)
+			} else {
+				later = append(later, a)
+			}
+		}
+		done := true
+		for i := range machines {
+			fetch(now, i, machines[i].Tick(now))
+			if now%(500*time.Millisecond) == 0 && rng.Float64() >= loss {
+				j := rng.IntN(n) // The note on a membership message.
+				fetch(now, i, machines[i].Heard(now, hosts[j], revision[j]))
+			}
+			done = done && revision[i] == 1
+		}
+		if done {
+			return now
+		}
+	}
+	return time.Minute
+}
