--- a/pkg/flow/peers.go
+++ b/pkg/flow/peers.go
@@ -6,6 +6,13 @@
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 )
 
+const (
+	// sweepTime is the time of a pass over all entries for expiry.
+	sweepTime = 3 * time.Second
+	// sweepLeast is the least number of entries looked at in a tick.
+	sweepLeast = 64
+)
+
 // Message takes a message of another host. It appends what to do to out and
 // returns it.
 func (t *Table) Message(now time.Duration, m *Message, out []Action) []Action {
@@ -174,23 +181,26 @@
 	return t.tell(now, out)
 }
 
-// expire ends entries from the least used on until one is not due.
+// expire looks at a part of the entries and ends those that are idle. A pass
+// over all entries takes about sweepTime.
 func (t *Table) expire(now time.Duration, out []Action) []Action {
-	const most = 4096
-	for range most {
-		i := t.slab.tail
-		if i < 0 {
-			break
+	n := len(t.slab.entries)
+	part := min(n, n*int(t.set.AskTimeout)/int(sweepTime)+sweepLeast)
+	for range part {
+		if t.sweep >= n {
+			t.sweep = 0
 		}
+		i := int32(t.sweep)
+		t.sweep++
 		e := &t.slab.entries[i]
-		last := max(e.lastIn, e.lastOut)
-		if e.state == asking || now-last < t.set.IdleTimeout-relinkAfter {
-			break
-		}
-		if now-last < t.set.IdleTimeout {
-			break
+		quiet := now - max(e.lastIn, e.lastOut)
+		switch {
+		case e.state == free || e.state == asking:
+		case e.closing && quiet >= t.set.CloseLinger:
+			out = t.end(i, ReasonClosed, out)
+		case quiet >= t.idle(e.key.Service):
+			out = t.end(i, ReasonIdle, out)
 		}
-		out = t.end(i, ReasonIdle, out)
 	}
 	return out
 }
--- a/pkg/flow/server.go
+++ b/pkg/flow/server.go
@@ -1,6 +1,10 @@
 package flow
 
-import "lagoonramp.org/lagoonramp/pkg/rendez"
+import (
+	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/rendez"
+)
 
 // ServerSet is an immutable list of a service's backend servers.
 type ServerSet struct {
@@ -9,6 +13,11 @@
 	// Holding holds the hashes of servers that keep their flows but take no
 	// new ones. It is disjoint from IDs.
 	Holding []uint64
+	// Idle ends a flow of the service without datagrams; 0 takes the table's.
+	Idle time.Duration
+	// Silent is how long a flow may stay unanswered; 0 takes the table's,
+	// negative is for ever.
+	Silent time.Duration
 }
 
 // Loads tells how loaded a server is. Implementations must be safe for the
--- a/pkg/flow/table.go
+++ b/pkg/flow/table.go
@@ -32,8 +32,12 @@
 	// answered is when each server last answered any flow.
 	answered map[uint64]time.Duration
 	held     int
-	teller   teller
-	heard    heard
+	// longest is the longest idle timeout of all services.
+	longest time.Duration
+	// sweep is the next entry to look at for expiry.
+	sweep  int
+	teller teller
+	heard  heard
 }
 
 // search is an ask under way.
@@ -83,9 +87,30 @@
 // The table keeps the map, which must not change any more.
 func (t *Table) SetServers(now time.Duration, services map[uint64]*ServerSet) {
 	t.services = services
+	t.longest = t.set.IdleTimeout
+	for _, set := range services {
+		t.longest = max(t.longest, set.Idle)
+	}
 	t.teller.restart(now)
 }
 
+// idle returns the idle timeout of a service.
+func (t *Table) idle(service uint64) time.Duration {
+	if set := t.services[service]; set != nil && set.Idle > 0 {
+		return set.Idle
+	}
+	return t.set.IdleTimeout
+}
+
+// silentAfter returns how long a flow of a service may stay unanswered,
+// negative for ever.
+func (t *Table) silentAfter(service uint64) time.Duration {
+	if set := t.services[service]; set != nil && set.Silent != 0 {
+		return set.Silent
+	}
+	return t.set.SilentAfter
+}
+
 // Held returns the number of flows that this table holds.
 func (t *Table) Held() int { return t.held }
 
@@ -105,7 +130,7 @@
 // this table do not show: any flow that is alive had a datagram within the
 // idle timeout, and an owner keeps a redirect as long.
 func (t *Table) young(now time.Duration) bool {
-	return now-t.viewAt < t.set.IdleTimeout+claimLife
+	return now-t.viewAt < max(t.longest, t.set.IdleTimeout)+claimLife
 }
 
 // Packet takes a datagram of a caller. The ingress is the host that answers
@@ -191,13 +216,14 @@
 // silent reports whether a flow was answered before, is not any more, and
 // its server still answers others.
 func (t *Table) silent(now time.Duration, e *entry) bool {
-	if t.set.SilentAfter < 0 || e.lastOut == 0 || int(e.unanswered) < t.set.SilentPackets {
+	if e.lastOut == 0 || int(e.unanswered) < t.set.SilentPackets {
 		return false
 	}
-	if now-e.lastOut < t.set.SilentAfter {
+	limit := t.silentAfter(e.key.Service)
+	if limit < 0 || now-e.lastOut < limit {
 		return false
 	}
-	return now-t.answered[e.peer] < t.set.SilentAfter/2
+	return now-t.answered[e.peer] < limit/2
 }
 
 // miss handles a datagram of a flow that has no entry.
@@ -295,7 +321,7 @@
 	}
 	i := t.slab.tail
 	e := &t.slab.entries[i]
-	if e.state == asking || now-max(e.lastIn, e.lastOut) < t.set.IdleTimeout/4 {
+	if e.state == asking || now-max(e.lastIn, e.lastOut) < t.idle(e.key.Service)/4 {
 		return out, false
 	}
 	return t.end(i, ReasonEvicted, out), true
