Add the host, the operators' commands and the demo: the whole path

Cause: one path end to end was missing. Conclusion: the path stands; the demo exits 5 until the breaks are explained.

--- /dev/null
+++ b/cmd/lagoonramp/main.go
@@ -0,0 +1,61 @@
+// Command lagoonramp is the load balancer: the daemon of an entry host and
+// the operators' commands.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// version is the release; the build sets it.
+var version = "dev"
+
+// The exit codes of all commands.
+const (
+	exitFailed = 1
+	// exitUsage: the command line or a file is wrong.
+	exitUsage = 2
+	// exitConflict: somebody else edited the section in between.
+	exitConflict = 3
+	// exitNotInForce: a revision is not in force on every host.
+	exitNotInForce = 4
+	// exitBroken: the demo broke a promise.
+	exitBroken = 5
+)
+
+func main() {
+	app := &cli.Command{
+		Name:    "lagoonramp",
+		Usage:   "a layer-4 load balancer whose hosts need no coordinator",
+		Version: version,
+		Commands: []*cli.Command{
+			serveCommand(), configCommand(), statusCommand(), timelineCommand(), demoCommand(), versionCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	err := app.Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "lagoonramp:", err)
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		os.Exit(coded.ExitCode())
+	}
+	os.Exit(exitFailed)
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(context.Context, *cli.Command) error {
+			fmt.Println("lagoonramp", version)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/lagoonramp/status.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonramp.org/lagoonramp/internal/event"
+	"lagoonramp.org/lagoonramp/internal/wire"
+)
+
+const statusPoll = 200 * time.Millisecond
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show all hosts, or wait until a revision is in force on all of them",
+		Flags: clientFlags(
+			&cli.Uint64Flag{Name: "wait", Usage: "wait until `REVISION` is in force on every host"},
+			&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second, Usage: "how long to wait"},
+		),
+		Action: status,
+	}
+}
+
+func status(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(c.Duration("timeout"))
+	for {
+		got := &wire.ClusterStatus{}
+		if _, err := cl.call(ctx, http.MethodGet, "/api/status", nil, got); err != nil {
+			return err
+		}
+		want := c.Uint64("wait")
+		missing := notInForce(got, want)
+		if want > 0 && len(missing) > 0 && time.Now().Before(end) {
+			time.Sleep(statusPoll)
+			continue
+		}
+		if err := printStatus(c, got); err != nil {
+			return err
+		}
+		if want > 0 && len(missing) > 0 {
+			return cli.Exit(fmt.Sprintf("revision %d is not in force on: %s", want, strings.Join(missing, "; ")), exitNotInForce)
+		}
+		return nil
+	}
+}
+
+// notInForce names the hosts that do not have a revision in force, and why.
+func notInForce(got *wire.ClusterStatus, revision uint64) []string {
+	var out []string
+	for _, h := range got.Hosts {
+		switch {
+		case h.Status == nil:
+			out = append(out, h.Name+" ("+h.Error+")")
+		case h.Status.Revision < revision && h.Status.Alarm != "":
+			out = append(out, fmt.Sprintf("%s (refused: %s, at %d)", h.Name, h.Status.Alarm, h.Status.Revision))
+		case h.Status.Revision < revision:
+			out = append(out, fmt.Sprintf("%s (behind, at %d)", h.Name, h.Status.Revision))
+		}
+	}
+	return out
+}
+
+func printStatus(c *cli.Command, got *wire.ClusterStatus) error {
+	if c.Bool("json") {
+		return printJSON(got)
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "HOST\tDATA CENTRE\tREVISION\tFLOWS\tSEES\tSTATE")
+	for _, h := range got.Hosts {
+		if h.Status == nil {
+			fmt.Fprintf(t, "%s\t%s\t?\t?\t?\t%s\n", h.Name, h.DataCentre, h.Error)
+			continue
+		}
+		s := h.Status
+		state := "serving"
+		if s.Leaving {
+			state = "leaving"
+		}
+		if s.PlatformDown {
+			state += ", no platform"
+		}
+		if s.Alarm != "" {
+			state += ", alarm " + s.Alarm
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%s\n", h.Name, h.DataCentre, s.Revision, s.Flows, len(s.Members), state)
+	}
+	return t.Flush()
+}
+
+func timelineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "timeline",
+		Usage: "print the time line of events over all hosts",
+		Flags: clientFlags(
+			&cli.DurationFlag{Name: "since", Value: 10 * time.Minute, Usage: "how far back"},
+			&cli.StringFlag{Name: "service"}, &cli.StringFlag{Name: "kind"}, &cli.StringFlag{Name: "from", Usage: "only events of this host"},
+			&cli.BoolFlag{Name: "follow", Usage: "go on with new events"},
+		),
+		Action: timeline,
+	}
+}
+
+const followPoll = time.Second
+
+func timeline(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	since := time.Now().Add(-c.Duration("since"))
+	seen := map[string]uint64{}
+	for {
+		q := url.Values{"since": {since.Format(time.RFC3339Nano)}, "service": {c.String("service")},
+			"kind": {c.String("kind")}, "host": {c.String("from")}}
+		var got struct {
+			Events []event.Event `json:"events"`
+			Silent []string      `json:"silent"`
+		}
+		if _, err := cl.call(ctx, http.MethodGet, "/api/events?"+q.Encode(), nil, &got); err != nil {
+			return err
+		}
+		if c.Bool("json") && !c.Bool("follow") {
+			return printJSON(got)
+		}
+		for _, e := range got.Events {
+			if e.Sequence <= seen[e.Host] {
+				continue
+			}
+			seen[e.Host] = e.Sequence
+			printEvent(&e)
+		}
+		if !c.Bool("follow") {
+			for _, h := range got.Silent {
+				fmt.Fprintln(os.Stderr, "no answer from", h)
+			}
+			return nil
+		}
+		time.Sleep(followPoll)
+	}
+}
+
+func printEvent(e *event.Event) {
+	parts := []string{}
+	for _, p := range []string{e.Service, e.Server, e.Peer, e.Cause} {
+		if p != "" {
+			parts = append(parts, p)
+		}
+	}
+	if e.Revision > 0 {
+		parts = append(parts, fmt.Sprintf("revision %d", e.Revision))
+	}
+	if e.Count > 1 {
+		parts = append(parts, fmt.Sprintf("%d times", e.Count))
+	}
+	fmt.Printf("%s  %-14s %-14s %s\n", e.At.Format("15:04:05.000"), e.Host, e.Kind, strings.Join(parts, ", "))
+}
--- /dev/null
+++ b/internal/demo/report.go
@@ -0,0 +1,85 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Report is the result of a run.
+type Report struct {
+	BrokenFlowsPlanned  int     `json:"brokenFlowsPlanned"`
+	BrokenFlowsCrash    int     `json:"brokenFlowsCrash"`
+	CrossService        int     `json:"crossService"`
+	WrongAnswers        int     `json:"wrongAnswers"`
+	LostRegistrations   int     `json:"lostRegistrations"`
+	DoubledRegistration int     `json:"doubledRegistrations"`
+	RanThoughNotRun     int     `json:"ranThoughNotRun"`
+	NewAfterDrain       int     `json:"newAfterDrain"`
+	Imbalance           float64 `json:"imbalance"`
+	ShortP50Ms          float64 `json:"shortP50Ms"`
+	ShortP99Ms          float64 `json:"shortP99Ms"`
+	LongP50Ms           float64 `json:"longP50Ms"`
+	LongP99Ms           float64 `json:"longP99Ms"`
+	InForceSeconds      float64 `json:"inForceSeconds"`
+	// InForce holds the seconds until the edit was in force, by host.
+	InForce       map[string]float64 `json:"inForce"`
+	Flows         int                `json:"flows"`
+	Requests      int                `json:"requests"`
+	Registrations int                `json:"registrations"`
+	Answered      int                `json:"answered"`
+	NotRun        int                `json:"notRun"`
+	Unknown       int                `json:"unknown"`
+	// OpenAtKill is how many flows and connections were open when the host
+	// was killed, over all hosts.
+	OpenAtKill int `json:"openAtKill"`
+}
+
+// Broken lists the promises of the brief that the run broke.
+func (r *Report) Broken() []string {
+	var out []string
+	for _, c := range []struct {
+		what  string
+		count int
+	}{
+		{"flows broken by planned change", r.BrokenFlowsPlanned},
+		{"packets that crossed services", r.CrossService},
+		{"answers to another request", r.WrongAnswers},
+		{"lost registrations", r.LostRegistrations},
+		{"doubled registrations", r.DoubledRegistration},
+		{"requests that ran though told not run", r.RanThoughNotRun},
+		{"new flows at a server that drains", r.NewAfterDrain},
+	} {
+		if c.count > 0 {
+			out = append(out, fmt.Sprintf("%d %s", c.count, c.what))
+		}
+	}
+	if r.InForceSeconds < 0 {
+		out = append(out, "the edit was not in force on every host")
+	}
+	if r.Flows == 0 || r.Answered == 0 {
+		out = append(out, "no traffic was served")
+	}
+	return out
+}
+
+// Write writes the report as a table.
+func (r *Report) Write(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	defer t.Flush()
+	row := func(name string, v any) { fmt.Fprintf(t, "%s\t%v\n", name, v) }
+	row("flows and connections", r.Flows)
+	row("broken by planned change", r.BrokenFlowsPlanned)
+	row("broken by the crash", fmt.Sprintf("%d of %d open", r.BrokenFlowsCrash, r.OpenAtKill))
+	row("packets across services", r.CrossService)
+	row("answers not one's own", r.WrongAnswers)
+	row("requests", r.Requests)
+	row("answered / not run / unknown", fmt.Sprintf("%d / %d / %d", r.Answered, r.NotRun, r.Unknown))
+	row("registrations lost / doubled", fmt.Sprintf("%d / %d of %d", r.LostRegistrations, r.DoubledRegistration, r.Registrations))
+	row("ran though told not run", r.RanThoughNotRun)
+	row("new flows at the draining server", r.NewAfterDrain)
+	row("imbalance (max over mean)", fmt.Sprintf("%.2f", r.Imbalance))
+	row("short requests p50 / p99", fmt.Sprintf("%.1f / %.1f ms", r.ShortP50Ms, r.ShortP99Ms))
+	row("long requests p50 / p99", fmt.Sprintf("%.1f / %.1f ms", r.LongP50Ms, r.LongP99Ms))
+	row("edit in force everywhere after", fmt.Sprintf("%.2f s", r.InForceSeconds))
+}
--- /dev/null
+++ b/internal/host/edit.go
@@ -0,0 +1,56 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"lagoonramp.org/lagoonramp/internal/event"
+	"lagoonramp.org/lagoonramp/internal/wire"
+	"lagoonramp.org/lagoonramp/pkg/conf"
+)
+
+// acceptedEdit notes an accepted edit.
+func (h *Host) acceptedEdit(c conf.Commit) {
+	h.events.Add(event.Event{Kind: event.Accepted, Revision: c.Revision, Cause: "section " + c.Team + " by " + c.Who})
+	h.log.Info("conf: an edit was accepted", zap.Uint64("revision", c.Revision), zap.String("team", c.Team), zap.String("who", c.Who))
+}
+
+// readHead takes the head from the platform at once, after an edit here.
+func (h *Host) readHead() {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	if v, err := h.store.Get(ctx, conf.HeadKey); err == nil {
+		_ = h.takeHead(ctx, v.Data)
+	}
+}
+
+// refusedEdit answers an edit that was not accepted.
+func (h *Host) refusedEdit(w http.ResponseWriter, team, who string, err error) {
+	out := wire.PutAnswer{Error: err.Error(), Kind: "store"}
+	status := http.StatusServiceUnavailable
+	var (
+		conflict *conf.ConflictError
+		check    *conf.CheckError
+		behind   *conf.BehindError
+	)
+	switch {
+	case errors.As(err, &conflict):
+		status = http.StatusConflict
+		out.Kind = "conflict"
+		out.Theirs = &conflict.Theirs
+		out.Current = conflict.Current
+		out.LastWho = conflict.Last.Who
+	case errors.As(err, &check):
+		status = http.StatusUnprocessableEntity
+		out.Kind = "check"
+		out.Faults = check.Faults
+	case errors.As(err, &behind):
+		status = http.StatusConflict
+		out.Kind = "behind"
+	}
+	h.events.Add(event.Event{Kind: event.Refused, Cause: "section " + team + " by " + who + ": " + out.Kind})
+	writeJSON(w, status, out)
+}
--- /dev/null
+++ b/internal/host/screen.go
@@ -0,0 +1,75 @@
+package host
+
+import (
+	"embed"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"net/http"
+	"time"
+
+	"lagoonramp.org/lagoonramp/internal/event"
+	"lagoonramp.org/lagoonramp/internal/wire"
+	"lagoonramp.org/lagoonramp/pkg/conf"
+)
+
+//go:embed page
+var pageFiles embed.FS
+
+const (
+	// streamEvery is how often the screen is sent new figures.
+	streamEvery = time.Second
+	// screenEvents is how much of the time line the screen shows.
+	screenEvents = time.Minute
+)
+
+// pageHandler serves the screen.
+func pageHandler() http.Handler {
+	sub, err := fs.Sub(pageFiles, "page")
+	if err != nil {
+		panic("host: the page must be embedded: " + err.Error())
+	}
+	return http.FileServerFS(sub)
+}
+
+// screenFrame is what the screen is sent.
+type screenFrame struct {
+	Cluster *wire.ClusterStatus `json:"cluster"`
+	History []conf.Commit       `json:"history"`
+	Events  []event.Event       `json:"events"`
+	Silent  []string            `json:"silent"`
+}
+
+// serveStream sends the screen's figures while somebody watches.
+func (h *Host) serveStream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	rc := http.NewResponseController(w)
+	t := time.NewTicker(streamEvery)
+	defer t.Stop()
+	for {
+		body, err := json.Marshal(h.frame(r))
+		if err != nil {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", body); err != nil || rc.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (h *Host) frame(r *http.Request) screenFrame {
+	f := screenFrame{Cluster: h.Cluster(r.Context()), History: []conf.Commit{}}
+	if a := h.routes.Load().adopted; a != nil {
+		const most = 8
+		n := len(a.Head.History)
+		f.History = a.Head.History[max(0, n-most):]
+	}
+	f.Events, f.Silent = h.Timeline(r.Context(), event.Filter{Since: time.Now().Add(-screenEvents)})
+	return f
+}
--- a/pkg/once/ledger.go
+++ b/pkg/once/ledger.go
@@ -259,3 +259,37 @@
 		delete(l.records, a.key)
 	}
 }
+
+// Each calls f with every record. It must not change the ledger.
+func (l *Ledger) Each(f func(key string, r *Record)) {
+	for k, r := range l.records {
+		f(k, r)
+	}
+}
+
+// Shared returns the record without what belongs to this process.
+func (r *Record) Shared() Record {
+	return Record{State: r.State, Host: r.Host, Run: r.Run, Print: r.Print}
+}
+
+// Take takes over a record of a host that leaves. What is known here already
+// is kept, but for a mere reservation, which an answer replaces.
+func (l *Ledger) Take(now time.Duration, key string, r Record, a *Answer) {
+	known := l.records[key]
+	if known != nil && (known.State != Reserved || r.State != Answered) {
+		return
+	}
+	r.Answer = a
+	r.waiters = nil
+	r.At = now
+	if r.State == Running {
+		r.State = Reserved
+	}
+	if known != nil {
+		*known = r
+		return
+	}
+	if len(l.records) < l.set.MaxRecords {
+		l.add(now, key, r)
+	}
+}
