--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -16,8 +15,6 @@
 // deskTick is how often a desk looks at deadlines and loans.
 const deskTick = 20 * time.Millisecond
 
-var errClosed = errors.New("the host is shutting down")
-
 // Desk admits the requests of one service: it queues them, holds the host's
 // share of the slots and picks servers. The pure machines that decide are
 // under one lock.
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -50,6 +50,8 @@
 	Self() uint64
 	// Peers returns the hosts, self included, with times since the epoch.
 	Peers(epoch time.Time) []once.Peer
+	// Forgot reports whether this host was restarted within the window.
+	Forgot() bool
 	// Alone reports whether the data centre has only ever had this host.
 	Alone() bool
 	// Address returns a host's address for HTTP requests.
@@ -110,6 +112,8 @@
 	// Known tells that the key is known already, by the named host.
 	Known bool   `json:"known"`
 	Host  uint64 `json:"host"`
+	// Forgot tells that the answering host was restarted not long ago.
+	Forgot bool `json:"forgot"`
 }
 
 // reasonUnsure is what a caller is told when it cannot be known whether the
@@ -260,22 +264,21 @@
 	var confirmed []uint64
 	for range maxReserveRounds {
 		asked := without(plan.Ask, confirmed)
-		got, known := o.reserve(r.Context(), asked, res)
+		got, forgot, known := o.reserve(r.Context(), asked, res)
 		confirmed = append(confirmed, got...)
 		if known != 0 {
 			o.release(res, confirmed)
 			o.knownElsewhere(x, w, r, known)
 			return
 		}
-		if plan.Enough(confirmed, o.cluster.Alone()) {
+		news := mark(peers, without(asked, got), forgot)
+		if !news && plan.Enough(confirmed, o.cluster.Alone()) {
 			o.runOnce(x, w, r, res, confirmed)
 			return
 		}
-		silent := without(asked, got)
-		if len(silent) == 0 || plan.Unsure {
+		if !news || plan.Unsure {
 			break
 		}
-		markLost(peers, silent)
 		plan = once.MakePlan(o.now(), rendez.Hash(key), o.cluster.Self(), peers, o.Window())
 	}
 	o.release(res, confirmed)
@@ -296,12 +299,22 @@
 	return out
 }
 
-func markLost(peers []once.Peer, hosts []uint64) {
+// mark notes in peers which hosts were silent and which said that they were
+// restarted. It reports whether that was news.
+func mark(peers []once.Peer, silent, forgot []uint64) bool {
+	news := false
 	for i := range peers {
-		if slices.Contains(hosts, peers[i].ID) {
-			peers[i].Lost = true
+		p := &peers[i]
+		if slices.Contains(silent, p.ID) && !p.Lost {
+			p.Lost = true
+			news = true
+		}
+		if slices.Contains(forgot, p.ID) && !p.Forgot {
+			p.Forgot = true
+			news = true
 		}
 	}
+	return news
 }
 
 // knownElsewhere answers a repeat of a request that another host knows.
@@ -339,9 +352,9 @@
 	outcome = x.serve(w, r.WithContext(context.WithoutCancel(r.Context())), rec)
 }
 
-// reserve asks hosts to reserve a key. It returns those that did, and the
-// host that runs the key if one of them knows it.
-func (o *Once) reserve(ctx context.Context, hosts []uint64, res reservation) (confirmed []uint64, known uint64) {
+// reserve asks hosts to reserve a key. It returns those that did, those that
+// were restarted, and the host that runs the key if one of them knows it.
+func (o *Once) reserve(ctx context.Context, hosts []uint64, res reservation) (confirmed, forgot []uint64, known uint64) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reserveTimeout)
 	defer cancel()
 	answers := make([]reserved, len(hosts))
@@ -361,8 +374,11 @@
 		if a.OK {
 			confirmed = append(confirmed, hosts[i])
 		}
+		if a.Forgot {
+			forgot = append(forgot, hosts[i])
+		}
 	}
-	return confirmed, known
+	return confirmed, forgot, known
 }
 
 // release takes a key back, here and where it was reserved.
@@ -411,7 +427,7 @@
 	}
 	o.mu.Lock()
 	known, ok := o.ledger.Reserve(o.now(), in.Key, in.Print, in.Host, in.Run)
-	out := reserved{OK: ok && known == nil, Known: known != nil}
+	out := reserved{OK: ok && known == nil, Known: known != nil, Forgot: o.cluster.Forgot()}
 	if known != nil {
 		out.Host = known.Host
 	}
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -80,6 +80,7 @@
 	}
 	if !c.forgotUntil.IsZero() && time.Now().After(c.forgotUntil) {
 		c.forgotUntil = time.Time{}
+		h.forgot.Store(false)
 		c.memb.SetForgot(false)
 	}
 }
@@ -302,6 +303,9 @@
 // Self implements front.Cluster.
 func (h *Host) Self() uint64 { return h.id }
 
+// Forgot implements front.Cluster.
+func (h *Host) Forgot() bool { return h.forgot.Load() }
+
 // Alone implements front.Cluster.
 func (h *Host) Alone() bool { return h.view.Load().alone }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,9 +80,11 @@
 	platformDown, watching atomic.Bool
 	alarm                  atomic.Value
 	leaving                atomic.Bool
-	cancel                 context.CancelFunc
-	group                  sync.WaitGroup
-	webServers             []*http.Server
+	// forgot tells that the host was restarted within the window of keys.
+	forgot     atomic.Bool
+	cancel     context.CancelFunc
+	group      sync.WaitGroup
+	webServers []*http.Server
 }
 
 // controlState belongs to the control loop.
@@ -136,7 +138,7 @@
 		quarantine: map[string]time.Time{}, ramps: map[uint64]*rampState{},
 	}
 	c := &h.control
-	self := memb.Member{Name: set.Name, Address: set.Peer, Joining: true, Incarnation: uint64(h.started.UnixMilli())}
+	self := memb.Member{Name: set.Name, Address: set.Peer, Joining: true, Forgot: true, Incarnation: uint64(h.started.UnixMilli())}
 	c.memb = memb.New(self, memb.Settings{}, c.rng)
 	c.spread = spread.New(h.id, spread.Settings{}, c.rng)
 	c.memb.Seed(0, h.seeds())
@@ -146,6 +148,8 @@
 		return nil, err
 	}
 	h.once = front.NewOnce(h, start)
+	h.forgot.Store(true)
+	c.forgotUntil = h.started.Add(h.once.Window())
 	h.publish()
 	return h, nil
 }
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -18,18 +18,16 @@
 
 // markLoop keeps a leased key that shows that this host was alive within the
 // window of idempotency keys. A process that finds its host's key was
-// restarted and has lost what its former process knew.
+// restarted and has lost what its former process knew. So does one that cannot
+// tell, since the platform does not answer.
 func (h *Host) markLoop(ctx context.Context) {
 	window := h.once.Window()
 	key := markPrefix + h.set.Name
 	version, err := h.store.Swap(ctx, key, []byte(h.started.Format(time.RFC3339Nano)), 0, window)
-	if err != nil {
-		// Unknown outcomes count as a restart: that is safe.
-		h.call(func() {
-			h.control.memb.SetForgot(true)
-			h.control.forgotUntil = h.started.Add(window)
-			h.publish()
-		})
+	if err == nil {
+		// Nobody of this name was alive within the window.
+		h.forgot.Store(false)
+		h.call(func() { h.control.memb.SetForgot(false) })
 	}
 	for ctx.Err() == nil {
 		if version == 0 {
