Add experiments in virtual time and the stand-ins as processes

Cause: the decisions had tests but no figures against baselines. Change: pkg/desk takes the pure part of the daemon's desk, so that daemon and experiments drive the same code; internal/exper runs it in virtual time; rampbench has platform, fabric, server, load and experiment.

--- /dev/null
+++ b/cmd/rampbench/experiment.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonramp.org/lagoonramp/internal/exper"
+)
+
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "experiment",
+		Usage:     "compare the decisions with baselines in virtual time: " + strings.Join(exper.Names, ", ") + " or all",
+		ArgsUsage: "NAME",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+			&cli.StringFlag{Name: "plot", Usage: "write a plot to `FILE`, a PNG"},
+			&cli.IntFlag{Name: "servers", Value: exper.DefaultSize.Servers, Usage: "the backend servers"},
+			&cli.IntFlag{Name: "slots", Value: exper.DefaultSize.Slots, Usage: "the slots of each server"},
+			&cli.IntFlag{Name: "hosts", Value: exper.DefaultSize.Hosts, Usage: "the hosts"},
+		},
+		Action: experiment,
+	}
+}
+
+func experiment(_ context.Context, c *cli.Command) error {
+	name := c.Args().First()
+	names := []string{name}
+	if name == "all" {
+		names = exper.Names
+	}
+	const minHosts = 5
+	size := exper.Size{Hosts: c.Int("hosts"), Servers: c.Int("servers"), Slots: c.Int("slots")}
+	switch {
+	case c.Args().Len() != 1 || name != "all" && !slices.Contains(exper.Names, name):
+		return cli.Exit("NAME must be one of "+strings.Join(exper.Names, ", ")+" or all", exitUsage)
+	case c.Int("seeds") < 1 || size.Hosts < minHosts || size.Servers < 2 || size.Slots < 1:
+		return cli.Exit("--seeds and --slots must be at least 1, --servers 2, --hosts 5", exitUsage)
+	}
+	for _, n := range names {
+		results := exper.RunSeeds(n, size, c.Uint64("seed"), c.Int("seeds"), runtime.NumCPU())
+		if file := c.String("plot"); file != "" {
+			if err := exper.Plot(file, n, results); err != nil {
+				return err
+			}
+		}
+		if err := printResults(c, n, results); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printResults(c *cli.Command, name string, results []exper.Result) error {
+	switch {
+	case !c.Bool("json"):
+		exper.WriteTable(os.Stdout, name, results)
+		return nil
+	case len(results) == 1:
+		return json.NewEncoder(os.Stdout).Encode(results[0])
+	}
+	return json.NewEncoder(os.Stdout).Encode(results)
+}
+
+// printJSON prints a value with indentation.
+func printJSON(v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err == nil {
+		fmt.Println(string(data))
+	}
+	return err
+}
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -47,7 +47,8 @@
 	start       time.Time
 }
 
-// NewCallers returns callers that check registrations against runs.
+// NewCallers returns callers that check registrations against runs, which may
+// be nil if the servers cannot be asked.
 func NewCallers(runs *fakes.Runs) *Callers {
 	return &Callers{runs: runs, start: time.Now(), short: hdrhistogram.New(1, maxMs*10, 3), long: hdrhistogram.New(1, maxMs*10, 3)}
 }
@@ -279,7 +280,7 @@
 	outcome, body := "", ""
 	for range registrationTries {
 		outcome, body = send(client, http.MethodPost, service, address, "/registrations", key, key)
-		if outcome == "not-run" && !doubt && c.runs.Count(key) > 0 {
+		if outcome == "not-run" && !doubt && c.runs != nil && c.runs.Count(key) > 0 {
 			c.count(func(r *Report) { r.RanThoughNotRun++ })
 		}
 		if outcome == "answered" {
@@ -291,11 +292,16 @@
 		doubt = doubt || outcome != "not-run"
 		time.Sleep(flowPause)
 	}
-	runs := c.runs.Count(key)
 	c.count(func(r *Report) {
 		r.Requests++
 		r.Registrations++
 		c.tally(r, outcome, body)
+	})
+	if c.runs == nil {
+		return
+	}
+	runs := c.runs.Count(key)
+	c.count(func(r *Report) {
 		if outcome == "answered" && runs == 0 {
 			r.LostRegistrations++
 		}
--- a/internal/front/desk.go
+++ b/internal/front/desk.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/pkg/admit"
+	"lagoonramp.org/lagoonramp/pkg/conf"
+	"lagoonramp.org/lagoonramp/pkg/desk"
 	"lagoonramp.org/lagoonramp/pkg/pick"
 	"lagoonramp.org/lagoonramp/pkg/retry"
 	"lagoonramp.org/lagoonramp/pkg/slots"
@@ -15,9 +18,8 @@
 // deskTick is how often a desk looks at deadlines and loans.
 const deskTick = 20 * time.Millisecond
 
-// Desk admits the requests of one service: it queues them, holds the host's
-// share of the slots and picks servers. The pure machines that decide are
-// under one lock.
+// Desk is a desk.Desk behind a lock: requests wait at it in goroutines of
+// their own.
 type Desk struct {
 	epoch  time.Time
 	events *event.Ring
@@ -26,15 +28,9 @@
 
 	mu      sync.Mutex
 	targets *Targets
-	queue   *admit.Queue
-	learner *admit.Learner
-	book    *slots.Book
-	watch   *pick.Watch
-	method  pick.Method
-	budget  *retry.Budget
-	// using counts this host's requests at each server.
-	using map[uint64]int
-	stats Stats
+	pure    *desk.Desk
+	out     desk.Output
+	stats   Stats
 }
 
 // Stats count what a desk did since its start.
@@ -43,11 +39,10 @@
 	Answered, NotRun, Unknown                uint64
 }
 
-// grant lets a request run on a slot.
+// grant is a grant with its server.
 type grant struct {
-	slot   slots.Slot
+	desk.Grant
 	server Server
-	at     time.Duration
 }
 
 // waiter is the value of a queued request.
@@ -69,15 +64,9 @@
 
 // NewDesk returns a desk for a host.
 func NewDesk(t *Targets, self uint64, method pick.Method, events *event.Ring, send func(slots.Message)) *Desk {
-	learner := admit.NewLearner()
-	d := &Desk{
-		epoch: time.Now(), events: events, send: send, method: method, learner: learner,
-		book:   slots.NewBook(t.ID, self, slots.Settings{}),
-		watch:  pick.NewWatch(pick.WatchSettings{}),
-		budget: retry.NewBudget(retry.Settings{}),
-		using:  map[uint64]int{},
-	}
-	d.queue = admit.NewQueue(admit.Settings{Limit: t.Queue, LongShare: t.LongShare}, learner)
+	d := &Desk{epoch: time.Now(), events: events, send: send}
+	d.pure = desk.New(desk.Settings{Service: t.ID, Self: self, Method: method,
+		Queue: admit.Settings{Limit: t.Queue, LongShare: t.LongShare}})
 	d.set(t, true)
 	return d
 }
@@ -88,15 +77,13 @@
 func (d *Desk) set(t *Targets, warm bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
 	d.targets = t
-	ids := make([]uint64, len(t.Servers))
-	for i := range t.Servers {
-		ids[i] = t.Servers[i].ID
+	list := make([]desk.Server, len(t.Servers))
+	for i, s := range t.Servers {
+		list[i] = desk.Server{ID: s.ID, Slots: s.Slots, TakesNew: s.TakesNew}
 	}
-	d.watch.Set(now, ids, warm)
-	d.book.Set(now, t.Hosts, t.slotServers())
-	d.dispatch(now)
+	d.pure.Set(d.now(), list, t.Hosts, warm, &d.out)
+	d.carryOut()
 }
 
 func (d *Desk) now() time.Duration { return time.Since(d.epoch) }
@@ -105,36 +92,54 @@
 func (d *Desk) Stats() (s Stats, waiting, running, total int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	running, _ = d.queue.Running()
-	return d.stats, d.queue.Len(), running, d.book.Total()
+	running, _ = d.pure.Queue().Running()
+	return d.stats, d.pure.Queue().Len(), running, d.pure.Total()
 }
 
 // Using returns this host's requests at each server.
 func (d *Desk) Using() map[uint64]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[uint64]int, len(d.using))
-	for id, n := range d.using {
-		out[id] = n
-	}
+	out := map[uint64]int{}
+	d.pure.Using(func(id uint64, n int) { out[id] = n })
 	return out
 }
 
+// carryOut does what the pure desk decided. The lock is held.
+func (d *Desk) carryOut() {
+	for _, g := range d.out.Grants {
+		d.stats.Started++
+		x := grant{Grant: g}
+		if s := d.targets.server(g.Slot.ID.Server); s != nil {
+			x.server = *s
+		}
+		g.Request.Value.(*waiter).granted <- x
+	}
+	for _, r := range d.out.Late {
+		d.stats.Late++
+		close(r.Value.(*waiter).refused)
+	}
+	for _, m := range d.out.Messages {
+		d.send(m)
+	}
+	d.out.Reset()
+}
+
 // enter waits until the request may run. The error is a *refusal, or the
 // context's; in both cases the request was not run.
 func (d *Desk) enter(ctx context.Context, r *admit.Request) (grant, error) {
 	w := &waiter{granted: make(chan grant, 1), refused: make(chan struct{})}
 	r.Value = w
 	d.mu.Lock()
-	now := d.now()
 	d.stats.Offered++
-	if why := d.queue.Offer(now, r); why != admit.Accepted {
+	why := d.pure.Offer(d.now(), r, &d.out)
+	wait := d.pure.Queue().Wait(r.Long)
+	d.carryOut()
+	if why != admit.Accepted {
 		d.stats.Refused++
-		wait := d.queue.Wait(r.Long)
 		d.mu.Unlock()
 		return grant{}, &refusal{reason: why.String(), retryAfter: wait}
 	}
-	d.dispatch(now)
 	d.mu.Unlock()
 	select {
 	case g := <-w.granted:
@@ -147,110 +152,31 @@
 	defer d.mu.Unlock()
 	select {
 	case g := <-w.granted:
-		d.release(r, g, 0)
+		d.pure.Drop(d.now(), g.Grant, &d.out)
+		d.carryOut()
 	default:
-		d.queue.Withdraw(r)
+		d.pure.Withdraw(r)
 	}
 	return grant{}, ctx.Err()
 }
 
 // leave gives a request's slot back. Failed tells that the server failed it.
-func (d *Desk) leave(r *admit.Request, g grant, failed bool) {
+func (d *Desk) leave(g grant, failed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	took := now - g.at
-	if d.watch.Done(now, g.server.ID, !failed, took) {
+	if d.pure.Done(d.now(), g.Grant, failed, &d.out) {
 		d.events.Add(event.Event{Kind: event.Ejected, Service: d.targets.Name, Server: g.server.Name,
 			Cause: "requests failed in a row"})
 	}
-	d.release(r, g, took)
-}
-
-// release ends a request's use of its slot. The lock is held.
-func (d *Desk) release(r *admit.Request, g grant, took time.Duration) {
-	now := d.now()
-	d.using[g.server.ID]--
-	if d.using[g.server.ID] <= 0 {
-		delete(d.using, g.server.ID)
-	}
-	d.queue.Done(r, took)
-	d.post(d.book.Release(now, g.slot, d.queue.Len() > 0, nil))
-	d.dispatch(now)
-}
-
-func (d *Desk) post(out []slots.Message) {
-	for _, m := range out {
-		d.send(m)
-	}
+	d.carryOut()
 }
 
 // receive handles a message of another host.
 func (d *Desk) receive(m *slots.Message) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	spare := d.book.Total() - d.book.Busy() - d.queue.Len()
-	d.post(d.book.Receive(now, m, max(0, spare), nil))
-	d.dispatch(now)
-}
-
-// tick does what is due.
-func (d *Desk) tick() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.now()
-	d.refuse(d.queue.Expire(now))
-	d.post(d.book.Tick(now, d.queue.Len() > 0, nil))
-	d.dispatch(now)
-}
-
-func (d *Desk) refuse(late []*admit.Request) {
-	for _, r := range late {
-		d.stats.Late++
-		close(r.Value.(*waiter).refused)
-	}
-}
-
-// dispatch gives free slots to waiting requests. The lock is held.
-func (d *Desk) dispatch(now time.Duration) {
-	d.queue.SetSlots(d.book.Total())
-	for d.queue.Len() > 0 {
-		list, any := d.freeServers(now)
-		if !any {
-			d.post(d.book.Need(now, d.queue.Len(), nil))
-			return
-		}
-		r, late := d.queue.Next(now)
-		d.refuse(late)
-		if r == nil {
-			return
-		}
-		i := d.method.Pick(d.stats.Started, list)
-		s, ok := d.book.Acquire(now, list[i].ID)
-		if !ok {
-			panic("front: a free slot could not be taken")
-		}
-		d.using[list[i].ID]++
-		d.stats.Started++
-		server := d.targets.server(list[i].ID)
-		r.Value.(*waiter).granted <- grant{slot: s, server: *server, at: now}
-	}
-}
-
-// freeServers lists the servers with free slots here.
-func (d *Desk) freeServers(now time.Duration) (list []pick.Server, any bool) {
-	d.book.Free(now, func(id uint64, free int) {
-		if d.targets.server(id) == nil {
-			return
-		}
-		w := d.watch.Weight(now, id)
-		if w <= 0 || w < 0.5 && d.using[id] > 0 {
-			return // Ejected, or ramping up and busy already.
-		}
-		list = append(list, pick.Server{ID: id, InFlight: d.using[id], Free: free, Weight: w})
-	})
-	return list, len(list) > 0
+	d.pure.Receive(d.now(), m, &d.out)
+	d.carryOut()
 }
 
 // loop ticks until the context ends.
@@ -260,7 +186,10 @@
 	for {
 		select {
 		case <-t.C:
-			d.tick()
+			d.mu.Lock()
+			d.pure.Tick(d.now(), &d.out)
+			d.carryOut()
+			d.mu.Unlock()
 		case <-ctx.Done():
 			return
 		}
@@ -274,19 +203,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, h := range d.targets.Classes {
-		if (h.Method == "" || h.Method == method) && len(path) >= len(h.PathPrefix) && path[:len(h.PathPrefix)] == h.PathPrefix {
-			return kind, h.Class == "long"
+		if (h.Method == "" || h.Method == method) && strings.HasPrefix(path, h.PathPrefix) {
+			return kind, h.Class == conf.Long
 		}
 	}
-	long, _ = d.learner.Long(kind)
-	return kind, long
+	return kind, d.pure.Class(kind)
 }
 
 // mayRetry takes a retry from the budget.
 func (d *Desk) mayRetry() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ok := d.budget.Take()
+	ok := d.pure.Retry()
 	if ok {
 		d.stats.Retries++
 	}
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"lagoonramp.org/lagoonramp/pkg/admit"
 	"lagoonramp.org/lagoonramp/pkg/retry"
 )
 
@@ -42,13 +41,12 @@
 
 // forward sends the request to the granted server and passes the answer on.
 // It gives the slot back as soon as the server is done.
-func (x *exchange) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, body *replay,
-	req *admit.Request, g grant) *failure {
+func (x *exchange) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, body *replay, g grant) *failure {
 	s := x.service
 	var once atomic.Bool
 	leave := func(failed bool) {
 		if once.CompareAndSwap(false, true) {
-			s.desk.leave(req, g, failed)
+			s.desk.leave(g, failed)
 		}
 	}
 	defer leave(true)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -175,7 +175,7 @@
 		}
 		return f
 	}
-	return x.forward(ctx, w, r, body, req, g)
+	return x.forward(ctx, w, r, body, g)
 }
 
 // fail answers a request that has no answer. A part of an answer that was
--- a/internal/front/targets.go
+++ b/internal/front/targets.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/conf"
-	"lagoonramp.org/lagoonramp/pkg/slots"
 )
 
 // Targets is the configuration of a service. It is immutable.
@@ -38,17 +37,6 @@
 	TakesNew bool
 }
 
-// slotServers returns the servers that take new requests.
-func (t *Targets) slotServers() []slots.Server {
-	var out []slots.Server
-	for _, s := range t.Servers {
-		if s.TakesNew {
-			out = append(out, slots.Server{ID: s.ID, Slots: s.Slots})
-		}
-	}
-	return out
-}
-
 // server returns a server by ID, or nil.
 func (t *Targets) server(id uint64) *Server {
 	for i := range t.Servers {
--- /dev/null
+++ b/pkg/desk/desk.go
@@ -0,0 +1,237 @@
+// Package desk admits the requests of one service at one host: it ties the
+// queue, the slots, the observations of servers and the choice of a server
+// together. It is a pure state machine, driven alike by the daemon and by the
+// experiments.
+//
+// Conventions. Time is a time.Duration since an epoch that the embedder
+// chooses. A Desk belongs to one goroutine or lock. What a call decides is
+// appended to an Output; the embedder carries it out.
+package desk
+
+import (
+	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/admit"
+	"lagoonramp.org/lagoonramp/pkg/pick"
+	"lagoonramp.org/lagoonramp/pkg/retry"
+	"lagoonramp.org/lagoonramp/pkg/slots"
+)
+
+// Server is a backend server.
+type Server struct {
+	ID    uint64
+	Slots int
+	// TakesNew tells that the server takes new requests.
+	TakesNew bool
+}
+
+// Settings of a Desk. The zero value is usable but for Service and Self.
+type Settings struct {
+	// Service and Self are the hashes of the service's and the host's names.
+	Service, Self uint64
+	// Method chooses among servers with free slots. The default is
+	// pick.LeastLoaded.
+	Method pick.Method
+	Queue  admit.Settings
+	Slots  slots.Settings
+	Watch  pick.WatchSettings
+	Retry  retry.Settings
+	// NoClasses treats all requests as short ones, for comparison.
+	NoClasses bool
+}
+
+// Grant lets a request run.
+type Grant struct {
+	Request *admit.Request
+	Slot    slots.Slot
+	// At is when the grant was made.
+	At time.Duration
+}
+
+// Output is what a call decided.
+type Output struct {
+	Grants []Grant
+	// Late are requests that waited and are refused; they were not run.
+	Late []*admit.Request
+	// Messages go to other hosts.
+	Messages []slots.Message
+}
+
+// Reset empties the output for the next call.
+func (o *Output) Reset() {
+	o.Grants = o.Grants[:0]
+	o.Late = o.Late[:0]
+	o.Messages = o.Messages[:0]
+}
+
+// rampBusy is the weight below which a server gets one request at a time.
+const rampBusy = 0.5
+
+// Desk admits requests.
+type Desk struct {
+	set     Settings
+	queue   *admit.Queue
+	learner *admit.Learner
+	book    *slots.Book
+	watch   *pick.Watch
+	budget  *retry.Budget
+	servers map[uint64]Server
+	// using counts this host's requests at each server.
+	using   map[uint64]int
+	started uint64
+	free    []pick.Server
+}
+
+// New returns a desk without servers.
+func New(set Settings) *Desk {
+	if set.Method == nil {
+		set.Method = pick.LeastLoaded{}
+	}
+	l := admit.NewLearner()
+	return &Desk{
+		set:     set,
+		queue:   admit.NewQueue(set.Queue, l),
+		learner: l,
+		book:    slots.NewBook(set.Service, set.Self, set.Slots),
+		watch:   pick.NewWatch(set.Watch),
+		budget:  retry.NewBudget(set.Retry),
+		servers: map[uint64]Server{},
+		using:   map[uint64]int{},
+	}
+}
+
+// Set puts lists of servers and of the hosts that own slots in force. Warm
+// tells that the servers are not new, only this host is.
+func (d *Desk) Set(now time.Duration, servers []Server, hosts []uint64, warm bool, out *Output) {
+	ids := make([]uint64, len(servers))
+	var open []slots.Server
+	clear(d.servers)
+	for i, s := range servers {
+		ids[i] = s.ID
+		d.servers[s.ID] = s
+		if s.TakesNew {
+			open = append(open, slots.Server{ID: s.ID, Slots: s.Slots})
+		}
+	}
+	d.watch.Set(now, ids, warm)
+	d.book.Set(now, hosts, open)
+	d.dispatch(now, out)
+}
+
+// Queue returns the desk's queue, for its figures.
+func (d *Desk) Queue() *admit.Queue { return d.queue }
+
+// Watch returns what the desk observed of the servers.
+func (d *Desk) Watch() *pick.Watch { return d.watch }
+
+// Total returns how many slots the host may use now.
+func (d *Desk) Total() int { return d.book.Total() }
+
+// Using calls f with each server that has requests of this host.
+func (d *Desk) Using(f func(server uint64, requests int)) {
+	for id, n := range d.using {
+		f(id, n)
+	}
+}
+
+// Class tells whether requests of a kind are long ones, as far as is known.
+func (d *Desk) Class(kind string) (long bool) {
+	if d.set.NoClasses {
+		return false
+	}
+	long, _ = d.learner.Long(kind)
+	return long
+}
+
+// Offer takes a request in, or refuses it; then it was not run.
+func (d *Desk) Offer(now time.Duration, r *admit.Request, out *Output) admit.Refusal {
+	d.budget.Request()
+	if why := d.queue.Offer(now, r); why != admit.Accepted {
+		return why
+	}
+	d.dispatch(now, out)
+	return admit.Accepted
+}
+
+// Withdraw takes a waiting request back.
+func (d *Desk) Withdraw(r *admit.Request) { d.queue.Withdraw(r) }
+
+// Retry takes a retry from the budget, if there is one.
+func (d *Desk) Retry() bool { return d.budget.Take() }
+
+// Done ends a granted request. Failed tells that the server failed it. It
+// returns whether that ejected the server.
+func (d *Desk) Done(now time.Duration, g Grant, failed bool, out *Output) (ejected bool) {
+	took := now - g.At
+	ejected = d.watch.Done(now, g.Slot.ID.Server, !failed, took)
+	d.release(now, g, took, out)
+	return ejected
+}
+
+// Drop ends a granted request that was never sent.
+func (d *Desk) Drop(now time.Duration, g Grant, out *Output) { d.release(now, g, 0, out) }
+
+func (d *Desk) release(now time.Duration, g Grant, took time.Duration, out *Output) {
+	id := g.Slot.ID.Server
+	d.using[id]--
+	if d.using[id] <= 0 {
+		delete(d.using, id)
+	}
+	d.queue.Done(g.Request, took)
+	out.Messages = d.book.Release(now, g.Slot, d.queue.Len() > 0, out.Messages)
+	d.dispatch(now, out)
+}
+
+// Receive handles a message of another host.
+func (d *Desk) Receive(now time.Duration, m *slots.Message, out *Output) {
+	spare := d.book.Total() - d.book.Busy() - d.queue.Len()
+	out.Messages = d.book.Receive(now, m, max(0, spare), out.Messages)
+	d.dispatch(now, out)
+}
+
+// Tick does what is due. It should be called about every 20 ms.
+func (d *Desk) Tick(now time.Duration, out *Output) {
+	out.Late = append(out.Late, d.queue.Expire(now)...)
+	out.Messages = d.book.Tick(now, d.queue.Len() > 0, out.Messages)
+	d.dispatch(now, out)
+}
+
+// dispatch gives free slots to waiting requests.
+func (d *Desk) dispatch(now time.Duration, out *Output) {
+	d.queue.SetSlots(d.book.Total())
+	for d.queue.Len() > 0 {
+		d.listFree(now)
+		if len(d.free) == 0 {
+			out.Messages = d.book.Need(now, d.queue.Len(), out.Messages)
+			return
+		}
+		r, late := d.queue.Next(now)
+		out.Late = append(out.Late, late...)
+		if r == nil {
+			return
+		}
+		d.started++
+		id := d.free[d.set.Method.Pick(d.started, d.free)].ID
+		s, ok := d.book.Acquire(now, id)
+		if !ok {
+			panic("desk: a free slot could not be taken")
+		}
+		d.using[id]++
+		out.Grants = append(out.Grants, Grant{Request: r, Slot: s, At: now})
+	}
+}
+
+// listFree lists the servers with free slots here.
+func (d *Desk) listFree(now time.Duration) {
+	d.free = d.free[:0]
+	d.book.Free(now, func(id uint64, free int) {
+		if _, ok := d.servers[id]; !ok {
+			return
+		}
+		w := d.watch.Weight(now, id)
+		if w <= 0 || w < rampBusy && d.using[id] > 0 {
+			return // Ejected, or ramping up and busy already.
+		}
+		d.free = append(d.free, pick.Server{ID: id, InFlight: d.using[id], Free: free, Weight: w})
+	})
+}
