Run a key only after two of three hosts that keep it recorded it

Change: a key has a group of three hosts that a loss does not change for an hour; two must record it, all but one must be asked. The churn test now cuts the data centre at random. Conclusion: neighbours in the order are not enough under cuts; a majority is.

--- a/internal/exper/policies.go
+++ b/internal/exper/policies.go
@@ -140,38 +140,23 @@
 	})
 }
 
-// reserve reserves a key, with as many rounds as the daemon makes.
+// reserve reserves a key as the daemon does.
 func (p *deskPolicy) reserve(h *reqHost, key string, plan once.Plan, run uint64) (confirmed []uint64, clean bool) {
 	w := p.w
-	peers := append([]once.Peer(nil), h.known...)
-	seen := map[uint64]bool{}
-	for range 3 {
-		silent := false
-		for _, id := range plan.Ask {
-			if seen[id] {
-				continue
-			}
-			o := w.hosts[p.index[id]]
-			if o.dead || o.part != h.part {
-				silent = true
-				for j := range peers {
-					peers[j].Lost = peers[j].Lost || peers[j].ID == id
-				}
-				continue
-			}
-			seen[id] = true
-			known, ok := p.ledgers[o.index].Reserve(w.now, key, 1, h.id, run)
-			if known != nil || !ok {
-				return confirmed, false
-			}
-			confirmed = append(confirmed, id)
+	for _, id := range plan.Ask {
+		o := w.hosts[p.index[id]]
+		if o.dead || o.part != h.part {
+			continue
+		}
+		known, ok := p.ledgers[o.index].Reserve(w.now, key, 1, h.id, run)
+		if known != nil {
+			return confirmed, false
 		}
-		if !silent {
-			return confirmed, plan.Enough(confirmed, false)
+		if ok {
+			confirmed = append(confirmed, id)
 		}
-		plan = once.MakePlan(w.now, rendez.Hash(key), h.id, peers, p.ledgers[h.index].Window())
 	}
-	return confirmed, false
+	return confirmed, plan.Enough(len(confirmed))
 }
 
 func (p *deskPolicy) release(h *reqHost, key string, at []uint64, run uint64) {
--- a/internal/exper/requests.go
+++ b/internal/exper/requests.go
@@ -35,7 +35,6 @@
 	crash              time.Duration
 	liarsFrom, liarsTo time.Duration
 	cutFrom, cutTo     time.Duration
-	drain              time.Duration
 }
 
 // requestResult is what callers and servers counted.
@@ -64,7 +63,6 @@
 	size             time.Duration
 	arrived, patient time.Duration
 	tries            int
-	ran              int
 	doubt            bool
 	done             bool
 	atCrest          bool
@@ -89,7 +87,6 @@
 	ended     func(outcome jobOutcome)
 	cancelled bool
 	started   time.Duration
-	serial    int
 }
 
 type jobOutcome uint8
@@ -272,21 +269,11 @@
 		h.part = 0
 		for _, o := range w.hosts {
 			markPeer(h, o.id, o.dead)
-			// Whoever was away has gaps in what it knows.
-			h.setSince(o.id, w.now)
 		}
 	}
 	w.policy.changed()
 }
 
-func (h *reqHost) setSince(id uint64, at time.Duration) {
-	for j := range h.known {
-		if h.known[j].ID == id {
-			h.known[j].Since = at
-		}
-	}
-}
-
 // arrive makes a request and hands it to any host.
 func (w *requestWorld) arrive() {
 	w.serial++
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -52,8 +52,6 @@
 	Peers(epoch time.Time) []once.Peer
 	// Forgot reports whether this host was restarted within the window.
 	Forgot() bool
-	// Alone reports whether the data centre has only ever had this host.
-	Alone() bool
 	// Address returns a host's address for HTTP requests.
 	Address(host uint64) (string, bool)
 	// Sign tags a request to another host.
@@ -256,65 +254,20 @@
 }
 
 // proceed reserves a new key at other hosts and runs its request, unless one
-// of them knows the key or too few of them answer. A host that does not answer
-// counts as lost, and the plan is made again without it.
+// of them knows the key or too few of them answer.
 func (o *Once) proceed(x *exchange, w http.ResponseWriter, r *http.Request, key string, print uint64, plan once.Plan) {
 	res := reservation{Key: key, Print: print, Host: o.cluster.Self(), Run: o.run.Add(1)}
-	peers := o.cluster.Peers(o.epoch)
-	var confirmed []uint64
-	for range maxReserveRounds {
-		asked := without(plan.Ask, confirmed)
-		got, forgot, known := o.reserve(r.Context(), asked, res)
-		confirmed = append(confirmed, got...)
-		if known != 0 {
-			o.release(res, confirmed)
-			o.knownElsewhere(x, w, r, known)
-			return
-		}
-		news := mark(peers, without(asked, got), forgot)
-		if !news && plan.Enough(confirmed, o.cluster.Alone()) {
-			o.runOnce(x, w, r, res, confirmed)
-			return
-		}
-		if !news || plan.Unsure {
-			break
-		}
-		plan = once.MakePlan(o.now(), rendez.Hash(key), o.cluster.Self(), peers, o.Window())
-	}
-	o.release(res, confirmed)
-	x.unsure(w, reasonUnsure)
-}
-
-// maxReserveRounds bounds how often a plan is made again.
-const maxReserveRounds = 3
-
-// without returns the hosts of all that are not in some.
-func without(all, some []uint64) []uint64 {
-	var out []uint64
-	for _, h := range all {
-		if !slices.Contains(some, h) {
-			out = append(out, h)
-		}
+	got := o.reserve(r.Context(), plan.Ask, res)
+	if got.known == 0 && plan.Enough(got.clean) {
+		o.runOnce(x, w, r, res, got.confirmed)
+		return
 	}
-	return out
-}
-
-// mark notes in peers which hosts were silent and which said that they were
-// restarted. It reports whether that was news.
-func mark(peers []once.Peer, silent, forgot []uint64) bool {
-	news := false
-	for i := range peers {
-		p := &peers[i]
-		if slices.Contains(silent, p.ID) && !p.Lost {
-			p.Lost = true
-			news = true
-		}
-		if slices.Contains(forgot, p.ID) && !p.Forgot {
-			p.Forgot = true
-			news = true
-		}
+	o.release(res, got.confirmed)
+	if got.known != 0 {
+		o.knownElsewhere(x, w, r, got.known)
+		return
 	}
-	return news
+	x.unsure(w, reasonUnsure)
 }
 
 // knownElsewhere answers a repeat of a request that another host knows.
@@ -352,9 +305,18 @@
 	outcome = x.serve(w, r.WithContext(context.WithoutCancel(r.Context())), rec)
 }
 
-// reserve asks hosts to reserve a key. It returns those that did, those that
-// were restarted, and the host that runs the key if one of them knows it.
-func (o *Once) reserve(ctx context.Context, hosts []uint64, res reservation) (confirmed, forgot []uint64, known uint64) {
+// reservations is what hosts answered to a reservation.
+type reservations struct {
+	// confirmed are the hosts that recorded the key, clean is how many of them
+	// have forgotten nothing.
+	confirmed []uint64
+	clean     int
+	// known is the host that runs the key, if one of them knows it.
+	known uint64
+}
+
+// reserve asks hosts to reserve a key.
+func (o *Once) reserve(ctx context.Context, hosts []uint64, res reservation) reservations {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reserveTimeout)
 	defer cancel()
 	answers := make([]reserved, len(hosts))
@@ -367,18 +329,20 @@
 		}()
 	}
 	group.Wait()
+	var out reservations
 	for i, a := range answers {
 		if a.Known {
-			known = a.Host
+			out.known = a.Host
 		}
-		if a.OK {
-			confirmed = append(confirmed, hosts[i])
+		if !a.OK {
+			continue
 		}
-		if a.Forgot {
-			forgot = append(forgot, hosts[i])
+		out.confirmed = append(out.confirmed, hosts[i])
+		if !a.Forgot {
+			out.clean++
 		}
 	}
-	return confirmed, forgot, known
+	return out
 }
 
 // release takes a key back, here and where it was reserved.
@@ -547,18 +511,18 @@
 	Answer *once.Answer `json:"answer,omitempty"`
 }
 
-// Handover gives the records of a leaving host to the hosts that own their
-// keys next. It returns an error if one of them did not take its part.
+// Handover gives the records of a leaving host to the hosts that form the
+// keys' groups without it. It returns an error if one of them did not take its
+// part.
 func (o *Once) Handover(ctx context.Context) error {
 	const batch = 200
 	parts := map[uint64][]handoverRecord{}
-	peers := o.cluster.Peers(o.epoch)
+	peers := slices.DeleteFunc(o.cluster.Peers(o.epoch), func(p once.Peer) bool { return p.ID == o.cluster.Self() })
 	o.mu.Lock()
 	o.ledger.Each(func(key string, r *once.Record) {
 		plan := once.MakePlan(o.now(), rendez.Hash(key), o.cluster.Self(), peers, o.Window())
-		if plan.Owner != 0 && plan.Owner != o.cluster.Self() {
-			rec := *r
-			parts[plan.Owner] = append(parts[plan.Owner], handoverRecord{Key: key, Record: rec.Shared(), Answer: r.Answer})
+		for _, host := range plan.Ask {
+			parts[host] = append(parts[host], handoverRecord{Key: key, Record: r.Shared(), Answer: r.Answer})
 		}
 	})
 	o.mu.Unlock()
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -35,8 +35,6 @@
 	// names holds the names of the hosts by ID.
 	names map[uint64]string
 	once  []oncePeer
-	// alone tells that no other host of the data centre was ever seen.
-	alone bool
 }
 
 // oncePeer is a host with its wall time of first sight.
@@ -129,18 +127,17 @@
 	case memb.Dead:
 		kind = event.Lost
 		c.lost[m.Name] = now
-		delete(c.seen, m.Name)
 	case memb.Left:
 		kind = event.Left
 		delete(c.seen, m.Name)
 	default:
 		delete(c.lost, m.Name)
+		if _, ok := c.seen[m.Name]; !ok {
+			c.seen[m.Name] = now
+		}
 		if m.Leaving {
 			kind = event.Leaving
 		}
-		if _, ok := c.seen[m.Name]; !ok || e.Restarted {
-			c.seen[m.Name] = now
-		}
 	}
 	h.events.Add(event.Event{Kind: kind, Peer: m.Name})
 	h.log.Info("memb: a host changed", zap.String("peer", m.Name), zap.String("health", m.Health.String()), zap.Bool("leaving", m.Leaving))
@@ -153,7 +150,6 @@
 		flow:  &flow.View{Self: h.id},
 		peers: map[uint64]netip.AddrPort{},
 		names: map[uint64]string{h.id: h.set.Name},
-		alone: len(c.seen) == 0 && len(c.lost) == 0 && len(h.seeds()) == 0,
 	}
 	self := c.memb.Self()
 	live := []uint64{h.id}
@@ -189,22 +185,21 @@
 	if id == h.id {
 		since = h.started
 	}
-	switch m.Health {
-	case memb.Alive, memb.Suspect:
+	switch {
+	case m.Health == memb.Alive || m.Health == memb.Suspect:
 		switch {
 		case m.Leaving:
 			v.flow.Leaving = append(v.flow.Leaving, id)
 		case !m.Joining:
 			v.flow.Active = append(v.flow.Active, id)
 		}
-	case memb.Dead:
-		if time.Since(c.lost[m.Name]) > rememberLost {
-			return
-		}
+	case m.Health == memb.Dead && time.Since(c.lost[m.Name]) < rememberLost:
 		v.flow.Lost = append(v.flow.Lost, id)
 		p.Lost = true
+	case m.Health == memb.Dead || m.Health == memb.Left && m.Forgot:
+		p.Lost = true
 	default:
-		return
+		return // It left and handed over what it knew.
 	}
 	v.once = append(v.once, oncePeer{peer: p, since: since})
 }
@@ -306,9 +301,6 @@
 // Forgot implements front.Cluster.
 func (h *Host) Forgot() bool { return h.forgot.Load() }
 
-// Alone implements front.Cluster.
-func (h *Host) Alone() bool { return h.view.Load().alone }
-
 // Peers implements front.Cluster.
 func (h *Host) Peers(epoch time.Time) []once.Peer {
 	v := h.view.Load()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -37,6 +37,9 @@
 	maxWorkers         = 4
 	// controlQueue bounds what waits for the control loop.
 	controlQueue = 1024
+	// rememberKeys is how long a lost host still counts in the groups of keys,
+	// so that a long cut does not let both sides run one.
+	rememberKeys = time.Hour
 	// slotsLane is the sealer lane of slot messages; lane 0 is the control
 	// loop's.
 	slotsLane = 255
@@ -95,7 +98,7 @@
 	adopter    conf.Adopter
 	rng        *rand.Rand
 	generation uint64
-	// seen holds when each member was first seen alive without a break.
+	// seen holds when each member was first seen.
 	seen map[string]time.Time
 	// lost holds when members died.
 	lost map[string]time.Time
@@ -139,7 +142,7 @@
 	}
 	c := &h.control
 	self := memb.Member{Name: set.Name, Address: set.Peer, Joining: true, Forgot: true, Incarnation: uint64(h.started.UnixMilli())}
-	c.memb = memb.New(self, memb.Settings{}, c.rng)
+	c.memb = memb.New(self, memb.Settings{Remember: rememberKeys}, c.rng)
 	c.spread = spread.New(h.id, spread.Settings{}, c.rng)
 	c.memb.Seed(0, h.seeds())
 	h.view.Store(&view{})
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -48,8 +48,10 @@
 	defer cancel()
 	if err := h.once.Handover(ctx); err != nil {
 		h.log.Warn("once: not all keys were handed over")
+		h.call(func() { h.control.memb.SetForgot(true) })
 		return
 	}
+	h.call(func() { h.control.memb.SetForgot(false) })
 	key := markPrefix + h.set.Name
 	if v, err := h.store.Get(ctx, key); err == nil && v.Version != 0 {
 		_ = h.store.Delete(ctx, key, v.Version)
--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -60,34 +60,71 @@
 	is.Equal(v, Proceed)
 }
 
-func TestPlanAsksNewcomersAndOneSettled(t *testing.T) {
-	is := is.New(t)
+func TestPlan(t *testing.T) {
 	const window = 10 * time.Minute
 	now := time.Hour
-	var peers []Peer
-	for i := range 7 {
-		peers = append(peers, Peer{ID: rendez.Hash(fmt.Sprint("host-", i))})
+	fresh := func() ([]Peer, []uint64) {
+		var peers []Peer
+		for i := range 7 {
+			peers = append(peers, Peer{ID: rendez.Hash(fmt.Sprint("host-", i))})
+		}
+		return peers, rankOf(5, peers)
 	}
-	rank := rankOf(5, peers)
-	p := MakePlan(now, 5, rank[0], peers, window)
-	is.Equal(p.Owner, rank[0])
-	is.Equal(p.Ask, rank[1:2]) // One copy is enough in a settled group.
-	is.Equal(p.Settled, 0)
-	// The owner joined just now: the former owner must answer.
-	set(peers, rank[0], func(m *Peer) { m.Since = now })
-	p = MakePlan(now, 5, rank[0], peers, window)
-	is.Equal(p.Ask[:p.Settled], rank[1:2])
-	is.True(!p.Enough(nil, false))
-	is.True(p.Enough(rank[1:2], false))
-	// Owner and next both lost.
-	set(peers, rank[0], func(m *Peer) { m.Lost = true })
-	set(peers, rank[1], func(m *Peer) { m.Lost = true })
-	p = MakePlan(now, 5, rank[2], peers, window)
-	is.True(p.Unsure)
-	// One lost: the next one knew.
-	set(peers, rank[1], func(m *Peer) { m.Lost = false })
-	p = MakePlan(now, 5, rank[1], peers, window)
-	is.True(!p.Unsure)
+	t.Run("settled", func(t *testing.T) {
+		is := is.New(t)
+		peers, rank := fresh()
+		p := MakePlan(now, 5, rank[0], peers, window)
+		is.Equal(p.Owner, rank[0])
+		is.Equal(p.Ask, rank[1:3])
+		is.True(!p.Enough(0))
+		is.True(p.Enough(1))
+	})
+	t.Run("the owner joined just now", func(t *testing.T) {
+		is := is.New(t)
+		peers, rank := fresh()
+		set(peers, rank[0], func(m *Peer) { m.Since = now })
+		p := MakePlan(now, 5, rank[0], peers, window)
+		is.Equal(p.Ask, rank[1:4])
+		is.True(!p.Enough(1))
+		is.True(p.Enough(2))
+	})
+	t.Run("one of the group is lost", func(t *testing.T) {
+		is := is.New(t)
+		peers, rank := fresh()
+		set(peers, rank[0], func(m *Peer) { m.Lost = true })
+		p := MakePlan(now, 5, rank[1], peers, window)
+		is.Equal(p.Owner, rank[1])
+		is.Equal(p.Ask, rank[2:3])
+		is.True(!p.Enough(0))
+		is.True(p.Enough(1))
+	})
+	t.Run("two of the group are lost", func(t *testing.T) {
+		is := is.New(t)
+		peers, rank := fresh()
+		set(peers, rank[0], func(m *Peer) { m.Lost = true })
+		set(peers, rank[1], func(m *Peer) { m.Lost = true })
+		p := MakePlan(now, 5, rank[2], peers, window)
+		is.True(!p.Enough(len(p.Ask)))
+	})
+	t.Run("the owner was restarted", func(t *testing.T) {
+		is := is.New(t)
+		peers, rank := fresh()
+		set(peers, rank[0], func(m *Peer) { m.Forgot = true })
+		p := MakePlan(now, 5, rank[0], peers, window)
+		is.True(!p.Enough(1))
+		is.True(p.Enough(2))
+	})
+	t.Run("a single host", func(t *testing.T) {
+		is := is.New(t)
+		p := MakePlan(now, 5, 9, []Peer{{ID: 9}}, window)
+		is.True(p.Enough(0))
+	})
+	t.Run("two hosts", func(t *testing.T) {
+		is := is.New(t)
+		p := MakePlan(now, 5, 9, []Peer{{ID: 9}, {ID: 8}}, window)
+		is.True(!p.Enough(0))
+		is.True(p.Enough(1))
+	})
 }
 
 func rankOf(key uint64, peers []Peer) []uint64 {
@@ -115,10 +152,13 @@
 // TestAtMostOnceUnderChurn lets hosts join, crash, restart and leave while
 // keys are submitted again and again, each time at the host that is owner by
 // a view that may be stale. Every key must run at most once.
+//
+// That the test does not pass by refusing is checked over all seeds: in a
+// single one, two of seven hosts can be away most of the time.
 func TestAtMostOnceUnderChurn(t *testing.T) {
+	ran, keys := 0, 0
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			is := is.New(t)
 			s := newChurn(seed)
 			for range 6000 {
 				s.step()
@@ -128,9 +168,11 @@
 					t.Errorf("%s ran %d times", key, runs)
 				}
 			}
-			is.True(s.ran > s.keys/5) // The test must not pass by refusing.
+			ran += s.ran
+			keys += s.keys
 		})
 	}
+	is.New(t).True(ran > keys/5)
 }
 
 type churn struct {
@@ -140,6 +182,8 @@
 	runs  map[string]int
 	ran   int
 	keys  int
+	// healAt is when the present cut ends.
+	healAt time.Duration
 }
 
 type churnHost struct {
@@ -149,6 +193,8 @@
 	// peers is the host's view; it lags.
 	peers   map[uint64]Peer
 	started time.Duration
+	// side is where the host is while the data centre is cut.
+	side int
 }
 
 func newChurn(seed uint64) *churn {
@@ -171,8 +217,9 @@
 	h.peers = map[uint64]Peer{}
 	for _, o := range s.hosts {
 		h.peers[o.id] = Peer{ID: o.id, Since: since, Lost: !o.up}
-		if o.up {
-			o.peers[h.id] = Peer{ID: h.id, Since: since}
+		if p := o.peers[h.id]; o.up && o != h {
+			// The others know the name; a restart does not make it new.
+			o.peers[h.id] = Peer{ID: h.id, Since: p.Since}
 		}
 	}
 }
@@ -185,6 +232,8 @@
 		h.up = false
 	case n == 1 && !h.up:
 		s.boot(h, s.now)
+	case n == 2 && s.now > s.healAt:
+		s.cut()
 	case n < 40:
 		s.notice(h)
 	default:
@@ -198,6 +247,14 @@
 	}
 }
 
+// cut parts the hosts at random for a while.
+func (s *churn) cut() {
+	s.healAt = s.now + time.Duration(s.rng.IntN(60))*time.Second
+	for _, h := range s.hosts {
+		h.side = s.rng.IntN(2)
+	}
+}
+
 func (s *churn) upCount() int {
 	n := 0
 	for _, h := range s.hosts {
@@ -208,14 +265,12 @@
 	return n
 }
 
-// notice lets a host learn which others are down.
+// notice lets a host learn which others it can reach.
 func (s *churn) notice(h *churnHost) {
 	for _, o := range s.hosts {
 		p := h.peers[o.id]
-		if !o.up && !p.Lost {
-			p.Lost = true
-			h.peers[o.id] = p
-		}
+		p.Lost = !o.up || o.side != h.side && s.now < s.healAt
+		h.peers[o.id] = p
 	}
 }
 
@@ -228,7 +283,7 @@
 	hash := rendez.Hash(key)
 	plan := MakePlan(s.now, hash, from.id, s.list(from), defaultWindow)
 	owner := s.byID(plan.Owner)
-	if owner == nil || !owner.up {
+	if owner == nil || !owner.up || owner.side != from.side && s.now < s.healAt {
 		return
 	}
 	plan = MakePlan(s.now, hash, owner.id, s.list(owner), defaultWindow)
@@ -239,10 +294,10 @@
 	if verdict != Proceed {
 		return
 	}
-	var confirmed []uint64
+	confirmed := 0
 	for _, id := range plan.Ask {
 		peer := s.byID(id)
-		if !peer.up {
+		if !peer.up || peer.side != owner.side && s.now < s.healAt {
 			continue
 		}
 		known, ok := peer.ledger.Reserve(s.now, key, 1, owner.id, uint64(s.now))
@@ -250,11 +305,11 @@
 			owner.ledger.Lose(s.now, key)
 			return
 		}
-		if ok {
-			confirmed = append(confirmed, id)
+		if ok && !s.forgot(peer) {
+			confirmed++
 		}
 	}
-	if !plan.Enough(confirmed, false) {
+	if !plan.Enough(confirmed) {
 		owner.ledger.Lose(s.now, key)
 		return
 	}
@@ -274,12 +329,17 @@
 	return nil
 }
 
+// forgot reports whether a host was restarted within the window.
+func (s *churn) forgot(h *churnHost) bool {
+	return h.started > 0 && s.now-h.started < defaultWindow
+}
+
 // list returns the host's view. A host that was restarted says so itself.
 func (s *churn) list(h *churnHost) []Peer {
 	var out []Peer
 	for _, p := range h.peers {
 		o := s.byID(p.ID)
-		p.Forgot = o.started > 0 && s.now-o.started < defaultWindow
+		p.Forgot = s.forgot(o)
 		out = append(out, p)
 	}
 	slices.SortFunc(out, func(a, b Peer) int {
--- a/pkg/once/plan.go
+++ b/pkg/once/plan.go
@@ -7,13 +7,13 @@
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 )
 
-// Peer is a host as the ledger's owner sees it.
+// Peer is a host as the ledger's owner sees it. Hosts that left and handed
+// their records over are not listed; hosts that were lost stay listed.
 type Peer struct {
 	ID uint64
-	// Since is when this host first saw the peer alive without a break.
+	// Since is when this host first saw the peer. A loss does not change it.
 	Since time.Duration
-	// Lost tells that the peer died or cannot be reached. Peers that were
-	// lost longer ago than the window are left out.
+	// Lost tells that the peer died or cannot be reached.
 	Lost bool
 	// Forgot tells that the peer was restarted within the window, so that what
 	// its former process knew is lost.
@@ -26,33 +26,35 @@
 type Plan struct {
 	// Owner is the host that runs the key, 0 if there is none.
 	Owner uint64
-	// Ask lists the hosts at which the key is reserved, in order.
+	// Group lists the hosts of which any that ran the key within the window
+	// used two, in rendezvous order.
+	Group []uint64
+	// Ask lists the hosts of the group that can be asked, without self.
 	Ask []uint64
-	// Settled is how many of Ask, from the first on, must all answer: after
-	// them any host that could have run the key is covered.
-	Settled int
-	// Unsure tells that two hosts whose memory is lost may have shared the
-	// only knowledge of the key.
-	Unsure bool
+	// clean tells that self is in the group and has forgotten nothing.
+	clean bool
+	// alone tells that the group has only self.
+	alone bool
 }
 
 const (
-	// maxAsk bounds the hosts at which a key is reserved.
-	maxAsk = 5
-	// copies is how many hosts know of a key before it is run, the owner
-	// included.
+	// groupSize is how many hosts keep a key in a settled data centre.
+	groupSize = 3
+	// copies is how many of them must know of a key before it is run.
 	copies = 2
+	// maxGroup bounds the group while many hosts are new.
+	maxGroup = 13
 )
 
 // MakePlan plans a key. The peers include self.
 //
-// A request is run only after its owner and the next host in the order have
-// recorded the key. So two neighbours among the hosts alive at that time know
-// of it. A host that has been alive for the whole window and ranks first
-// among such hosts is one of any such pair, unless both of the pair rank
-// before it; then one of the pair must still be alive to be asked, or both
-// are lost and the plan is unsure. A host that was restarted counts as lost
-// for what it knew before.
+// The group of a key is its first three hosts in rendezvous order, those
+// included that are lost at present. A request is run only after two of the
+// group have recorded it. A host that joins changes the group. So the plan
+// takes all hosts up to the third one that was seen for the whole window: any
+// group in force within the window lies within these. Whoever then asks all
+// of them but one has asked one of the two that recorded the key. Two sides
+// of a cut cannot both ask all but one of three.
 func MakePlan(now time.Duration, key uint64, self uint64, peers []Peer, window time.Duration) Plan {
 	ranked := slices.Clone(peers)
 	slices.SortFunc(ranked, func(a, b Peer) int {
@@ -61,50 +63,37 @@
 		}
 		return 1
 	})
-	var p Plan
-	lost := 0
-	covered := false
+	p := Plan{alone: len(ranked) == 1}
+	settled := 0
 	for _, m := range ranked {
-		if (m.Lost || m.Forgot) && !covered {
-			lost++
+		if p.Owner == 0 && !m.Lost && !m.Leaving {
+			p.Owner = m.ID
 		}
-		if m.Lost {
+		if settled >= groupSize || len(p.Group) >= maxGroup {
 			continue
 		}
-		if p.Owner == 0 && !m.Leaving {
-			p.Owner = m.ID
-		}
-		settled := now-m.Since >= window
-		if m.ID != self {
-			enough := covered && len(p.Ask) >= copies-1
-			if !enough && len(p.Ask) < maxAsk {
-				p.Ask = append(p.Ask, m.ID)
-			}
+		p.Group = append(p.Group, m.ID)
+		if now-m.Since >= window {
+			settled++
 		}
-		if !covered {
-			p.Settled = len(p.Ask)
+		switch {
+		case m.ID == self:
+			p.clean = !m.Forgot
+		case !m.Lost:
+			p.Ask = append(p.Ask, m.ID)
 		}
-		covered = covered || settled
 	}
-	p.Unsure = lost >= copies
 	return p
 }
 
-// Enough reports whether the answers suffice to run the key: each host that
-// must be covered confirmed, and one more copy exists. A plan without hosts
-// to ask is enough only if the data centre has a single host.
-func (p *Plan) Enough(confirmed []uint64, alone bool) bool {
-	if p.Unsure {
-		return false
+// Enough reports whether the key may be run, given how many hosts recorded
+// it that have forgotten nothing, self not counted.
+func (p *Plan) Enough(confirmed int) bool {
+	if p.clean {
+		confirmed++
 	}
-	if len(p.Ask) == 0 {
-		return alone
-	}
-	missing := 0
-	for _, h := range p.Ask[:p.Settled] {
-		if !slices.Contains(confirmed, h) {
-			missing++
-		}
+	if p.alone {
+		return confirmed == 1
 	}
-	return missing == 0 && len(confirmed) >= copies-1
+	return confirmed >= max(len(p.Group)-1, copies)
 }
