Hand slots over when their home changes

Cause: after a change of the host list every slot with a new home rested 2 s, so a heal or a join cost up to half of the slots for that time. Change: the former home says when it does not use a slot any more.

--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -114,7 +114,7 @@
 		}
 	}
 	d.watch.Set(now, ids, warm)
-	d.book.Set(now, hosts, open)
+	out.Messages = d.book.Set(now, hosts, open, out.Messages)
 	d.dispatch(now, out)
 }
 
--- a/pkg/slots/book.go
+++ b/pkg/slots/book.go
@@ -55,6 +55,8 @@
 	usableAt time.Duration
 	borrower uint64
 	renewed  time.Duration
+	// former is the home that the slot had before it rested here.
+	former uint64
 }
 
 // loan is a slot borrowed from another host.
@@ -92,6 +94,8 @@
 	// retired counts requests that run on slots whose home has changed.
 	retired map[ID]int
 	started bool
+	// all holds the home of every slot.
+	all map[ID]uint64
 }
 
 // NewBook returns a book without slots.
@@ -149,46 +153,60 @@
 }
 
 // Set puts lists of hosts and servers in force. The hosts may lack this one,
-// if it is leaving.
-func (b *Book) Set(now time.Duration, hosts []uint64, servers []Server) {
-	homes := Homes(b.service, hosts, servers)
+// if it is leaving. Slots that this host loses are handed over at once if they
+// are idle, else when their request ends.
+func (b *Book) Set(now time.Duration, hosts []uint64, servers []Server, out []Message) []Message {
+	was := b.all
+	b.all = Homes(b.service, hosts, servers)
 	var next []own
 	for _, o := range b.own {
-		if homes[o.id] == b.self {
+		switch home := b.all[o.id]; {
+		case home == b.self:
 			next = append(next, o)
-			continue
-		}
-		if o.use == busy {
+		case o.use == busy:
 			b.retired[o.id]++
+		case o.use == idle && home != 0:
+			out = append(out, b.message(Handover, home, o.id))
 		}
 	}
-	for id, h := range homes {
-		if h != b.self || slices.ContainsFunc(next, func(o own) bool { return o.id == id }) {
-			continue
-		}
-		o := own{id: id}
-		if b.started {
-			o.usableAt = now + b.set.Rest
+	for id, h := range b.all {
+		if h == b.self && !slices.ContainsFunc(next, func(o own) bool { return o.id == id }) {
+			next = append(next, b.gain(now, id, was[id]))
 		}
-		if b.retired[id] > 0 {
-			b.retired[id]--
-			o.use = busy
-		}
-		next = append(next, o)
 	}
 	slices.SortFunc(next, func(x, y own) int {
 		return cmp.Or(cmp.Compare(x.id.Server, y.id.Server), cmp.Compare(x.id.Index, y.id.Index))
 	})
 	b.own = next
+	b.listHomes()
+	b.started = len(hosts) > 0
+	b.refused = 0
+	return out
+}
+
+// gain returns a slot that this host is the new home of. It rests, unless the
+// slot is new or this host has just started.
+func (b *Book) gain(now time.Duration, id ID, former uint64) own {
+	o := own{id: id, former: former}
+	if b.started && former != 0 {
+		o.usableAt = now + b.set.Rest
+	}
+	if b.retired[id] > 0 {
+		b.retired[id]--
+		o.use = busy
+	}
+	return o
+}
+
+// listHomes notes the other hosts that are home to slots.
+func (b *Book) listHomes() {
 	b.homes = b.homes[:0]
-	for _, h := range homes {
+	for _, h := range b.all {
 		if h != b.self && !slices.Contains(b.homes, h) {
 			b.homes = append(b.homes, h)
 		}
 	}
 	slices.Sort(b.homes)
-	b.started = len(hosts) > 0
-	b.refused = 0
 }
 
 // Total returns how many slots this host may use now, borrowed ones included.
@@ -272,8 +290,7 @@
 // requests wait here, so that a borrowed slot may be kept for a while.
 func (b *Book) Release(now time.Duration, s Slot, waiting bool, out []Message) []Message {
 	if s.Lender == 0 {
-		b.releaseOwn(s.ID)
-		return out
+		return b.releaseOwn(s.ID, out)
 	}
 	for i := range b.loans {
 		l := &b.loans[i]
@@ -290,19 +307,23 @@
 	return out
 }
 
-func (b *Book) releaseOwn(id ID) {
+func (b *Book) releaseOwn(id ID, out []Message) []Message {
 	if b.retired[id] > 0 {
 		b.retired[id]--
 		if b.retired[id] == 0 {
 			delete(b.retired, id)
 		}
-		return
+		if home := b.all[id]; home != 0 && home != b.self {
+			out = append(out, b.message(Handover, home, id))
+		}
+		return out
 	}
 	for i := range b.own {
 		if b.own[i].id == id && b.own[i].use == busy {
 			b.own[i].use = idle
 		}
 	}
+	return out
 }
 
 func (b *Book) message(kind MessageKind, to uint64, ids ...ID) Message {
@@ -358,6 +379,8 @@
 				o.use = idle
 			}
 		}
+	case Handover:
+		b.handedOver(now, m)
 	case Renew:
 		for _, id := range m.Slots {
 			if o := b.lentTo(id, m.From); o != nil {
@@ -368,6 +391,16 @@
 	return out
 }
 
+// handedOver ends the rest of slots whose former home does not use them.
+func (b *Book) handedOver(now time.Duration, m *Message) {
+	for i := range b.own {
+		o := &b.own[i]
+		if o.former == m.From && slices.Contains(m.Slots, o.id) {
+			o.usableAt = min(o.usableAt, now)
+		}
+	}
+}
+
 func (b *Book) lentTo(id ID, borrower uint64) *own {
 	for i := range b.own {
 		o := &b.own[i]
--- a/pkg/slots/book_test.go
+++ b/pkg/slots/book_test.go
@@ -101,7 +101,7 @@
 				held: map[uint64][]Slot{}, use: map[uint64]int{}}
 			for _, h := range ids {
 				w.books[h] = NewBook(1, h, Settings{})
-				w.books[h].Set(0, ids, servers(4, 3))
+				w.books[h].Set(0, ids, servers(4, 3), nil)
 			}
 			most := 0
 			for range 4000 {
@@ -120,8 +120,8 @@
 	is := is.New(t)
 	ids := hosts(2)
 	a, b := NewBook(1, ids[0], Settings{}), NewBook(1, ids[1], Settings{})
-	a.Set(0, ids, servers(2, 2))
-	b.Set(0, ids, servers(2, 2))
+	a.Set(0, ids, servers(2, 2), nil)
+	b.Set(0, ids, servers(2, 2), nil)
 	want := a.Need(0, 1, nil)
 	grant := b.Receive(0, &want[0], 2, nil)
 	is.Equal(len(grant[0].Slots), 1)
@@ -136,9 +136,9 @@
 	is := is.New(t)
 	ids := hosts(3)
 	b := NewBook(1, ids[0], Settings{})
-	b.Set(0, ids, servers(3, 2))
+	b.Set(0, ids, servers(3, 2), nil)
 	before := b.Total()
-	b.Set(time.Second, ids[:2], servers(3, 2))
+	b.Set(time.Second, ids[:2], servers(3, 2), nil)
 	is.True(b.Total() > before)
 	free := 0
 	count := func(_ uint64, n int) { free += n }
@@ -149,17 +149,56 @@
 	is.Equal(free, b.Total())
 }
 
+func TestHandoverEndsTheRest(t *testing.T) {
+	is := is.New(t)
+	ids := hosts(3)
+	a, b := NewBook(1, ids[0], Settings{}), NewBook(1, ids[1], Settings{})
+	a.Set(0, ids[:1], servers(3, 2), nil) // The first host is alone.
+	b.Set(0, ids[:1], servers(3, 2), nil)
+	s, ok := a.Acquire(0, firstOf(b, ids[:2]))
+	is.True(ok)
+	out := a.Set(time.Second, ids[:2], servers(3, 2), nil)
+	b.Set(time.Second, ids[:2], servers(3, 2), nil)
+	free := 0
+	count := func(_ uint64, n int) { free += n }
+	b.Free(time.Second, count)
+	is.Equal(free, 0)
+	for _, m := range out {
+		is.Equal(m.Kind, Handover)
+		b.Receive(time.Second, &m, 0, nil)
+	}
+	free = 0
+	b.Free(time.Second, count)
+	is.Equal(free, b.Total()-1) // One slot is busy at its former home.
+	for _, m := range a.Release(time.Second, s, false, nil) {
+		b.Receive(time.Second, &m, 0, nil)
+	}
+	free = 0
+	b.Free(time.Second, count)
+	is.Equal(free, b.Total())
+}
+
+// firstOf returns a server whose slot 0 will have b's host as its home.
+func firstOf(b *Book, hosts []uint64) uint64 {
+	for _, s := range servers(3, 2) {
+		if Homes(1, hosts, servers(3, 2))[ID{s.ID, 0}] == b.self {
+			return s.ID
+		}
+	}
+	return 0
+}
+
 func TestSlotThatLosesItsHomeWhileBusy(t *testing.T) {
 	is := is.New(t)
 	ids := hosts(1)
 	b := NewBook(1, ids[0], Settings{})
 	srv := servers(1, 1)
-	b.Set(0, ids, srv)
+	b.Set(0, ids, srv, nil)
 	s, ok := b.Acquire(0, srv[0].ID)
 	is.True(ok)
-	b.Set(time.Second, nil, srv)
+	b.Set(time.Second, nil, srv, nil)
 	is.Equal(b.Busy(), 1)
-	b.Set(2*time.Second, ids, srv)
+	b.Set(2*time.Second, ids, srv, nil)
 	_, ok = b.Acquire(10*time.Second, srv[0].ID)
 	is.True(!ok) // The request still runs.
 	b.Release(10*time.Second, s, false, nil)
--- a/pkg/slots/doc.go
+++ b/pkg/slots/doc.go
@@ -10,8 +10,8 @@
 //
 // The bound. While hosts agree on their list, at most as many requests run
 // at a server as it has slots. After a change of the list a slot that got a
-// new home rests for Settings.Rest, so that the former home can finish; only
-// requests that run longer overlap. Parts of a data centre that are cut off
+// new home rests until the former home hands it over, at most for
+// Settings.Rest; only requests that run longer at a lost home overlap. Parts of a data centre that are cut off
 // from each other each use all slots; the server's own shedding is the last
 // line.
 package slots
--- a/pkg/slots/message.go
+++ b/pkg/slots/message.go
@@ -21,6 +21,8 @@
 	Return
 	// Renew says that borrowed slots are still in use.
 	Renew
+	// Handover says that the former home of slots does not use them any more.
+	Handover
 )
 
 // Message goes from one host to another.
