Measure what the control costs by the number of hosts

Change: internal/capac and rampbench capacity; the demo's imbalance is now of slot time, since a count treats a request of 250 ms like one of 5 ms.

--- a/cmd/rampbench/capacity.go
+++ b/cmd/rampbench/capacity.go
@@ -1,5 +1,54 @@
 package main
 
-import "github.com/urfave/cli/v3"
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
 
-func capacityCommand() *cli.Command { return &cli.Command{Name: "capacity", Hidden: true} }
+	"github.com/urfave/cli/v3"
+
+	"lagoonramp.org/lagoonramp/internal/capac"
+)
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure what the control costs at several numbers of hosts in a data centre",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "hosts", Value: []int{8, 16, 32, 64, 128}, Usage: "the numbers of hosts"},
+			&cli.DurationFlag{Name: "duration", Value: 120 * time.Second, Usage: "the virtual time of each"},
+			&cli.DurationFlag{Name: "edit-every", Value: 10 * time.Second, Usage: "the time between edits; 950 a day are 91s"},
+			&cli.Float64Flag{Name: "loss", Value: 0.05, Usage: "the loss between hosts"},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON, a row a line"},
+		},
+		Action: capacity,
+	}
+}
+
+func capacity(_ context.Context, c *cli.Command) error {
+	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	defer t.Flush()
+	if !c.Bool("json") {
+		fmt.Fprintln(t, "HOSTS\tBYTES/S\tCPU SHARE\tHEAP\tPLATFORM CALLS/S\tIN FORCE P99.9")
+	}
+	for _, n := range c.IntSlice("hosts") {
+		if n < 2 {
+			return cli.Exit(fmt.Sprintf("--hosts %d must be at least 2", n), exitUsage)
+		}
+		row := capac.Measure(n, capac.Settings{Duration: c.Duration("duration"), EditEvery: c.Duration("edit-every"),
+			Loss: c.Float64("loss"), Seed: c.Uint64("seed")})
+		if c.Bool("json") {
+			if err := json.NewEncoder(os.Stdout).Encode(row); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(t, "%d\t%.0f\t%.5f\t%.0f\t%.2f\t%.2f s\n", row.Hosts, row.ControlBytesPerSecond, row.CPUShare,
+			row.HeapBytes, row.PlatformCallsPerSecond, row.InForceP999Seconds)
+	}
+	return nil
+}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -8,20 +8,21 @@
 
 // Report is the result of a run.
 type Report struct {
-	BrokenFlowsPlanned  int     `json:"brokenFlowsPlanned"`
-	BrokenFlowsCrash    int     `json:"brokenFlowsCrash"`
-	CrossService        int     `json:"crossService"`
-	WrongAnswers        int     `json:"wrongAnswers"`
-	LostRegistrations   int     `json:"lostRegistrations"`
-	DoubledRegistration int     `json:"doubledRegistrations"`
-	RanThoughNotRun     int     `json:"ranThoughNotRun"`
-	NewAfterDrain       int     `json:"newAfterDrain"`
-	Imbalance           float64 `json:"imbalance"`
-	ShortP50Ms          float64 `json:"shortP50Ms"`
-	ShortP99Ms          float64 `json:"shortP99Ms"`
-	LongP50Ms           float64 `json:"longP50Ms"`
-	LongP99Ms           float64 `json:"longP99Ms"`
-	InForceSeconds      float64 `json:"inForceSeconds"`
+	BrokenFlowsPlanned  int `json:"brokenFlowsPlanned"`
+	BrokenFlowsCrash    int `json:"brokenFlowsCrash"`
+	CrossService        int `json:"crossService"`
+	WrongAnswers        int `json:"wrongAnswers"`
+	LostRegistrations   int `json:"lostRegistrations"`
+	DoubledRegistration int `json:"doubledRegistrations"`
+	RanThoughNotRun     int `json:"ranThoughNotRun"`
+	NewAfterDrain       int `json:"newAfterDrain"`
+	// Imbalance is the highest slot time of an entry-desk server over the mean.
+	Imbalance      float64 `json:"imbalance"`
+	ShortP50Ms     float64 `json:"shortP50Ms"`
+	ShortP99Ms     float64 `json:"shortP99Ms"`
+	LongP50Ms      float64 `json:"longP50Ms"`
+	LongP99Ms      float64 `json:"longP99Ms"`
+	InForceSeconds float64 `json:"inForceSeconds"`
 	// InForce holds the seconds until the edit was in force, by host.
 	InForce       map[string]float64 `json:"inForce"`
 	Flows         int                `json:"flows"`
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -251,7 +251,7 @@
 	s.report.InForce, s.report.InForceSeconds, s.report.OpenAtKill = inForce, seconds, open
 	var counts []int
 	for _, v := range s.desk {
-		counts = append(counts, v.Handled())
+		counts = append(counts, int(v.Busy()))
 	}
 	s.report.Imbalance = ServerLoad(counts)
 	for _, v := range s.all {
--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -27,6 +27,7 @@
 
 	inFlight atomic.Int64
 	handled  atomic.Int64
+	busy     atomic.Int64
 	shed     atomic.Int64
 	crossed  atomic.Int64
 	closers  []io.Closer
@@ -60,6 +61,9 @@
 // Handled returns how many flows, connections or requests were handled.
 func (s *Server) Handled() int { return int(s.handled.Load()) }
 
+// Busy returns the slot time that requests took.
+func (s *Server) Busy() time.Duration { return time.Duration(s.busy.Load()) }
+
 // Shed returns how many requests were shed.
 func (s *Server) Shed() int { return int(s.shed.Load()) }
 
@@ -172,6 +176,8 @@
 	}
 	defer s.inFlight.Add(-1)
 	s.handled.Add(1)
+	began := time.Now()
+	defer func() { s.busy.Add(int64(time.Since(began))) }()
 	if r.Host != s.Service {
 		s.crossed.Add(1)
 	}
