Test the contracts with callers and servers; count work under way

Cause: the forwarding was tested by the demo only. Found: a WaitGroup was entered while a drain waited for it (a race under -race); a counter that allows it takes its place. A CL with TE chunked is written anew as chunks, so that nothing can be smuggled behind it.

--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,485 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/netip"
+	"net/textproto"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/internal/event"
+	"lagoonramp.org/lagoonramp/pkg/once"
+	"lagoonramp.org/lagoonramp/pkg/pick"
+	"lagoonramp.org/lagoonramp/pkg/slots"
+)
+
+// loneCluster is a data centre with a single host.
+type loneCluster struct{}
+
+func (loneCluster) Self() uint64                  { return 1 }
+func (loneCluster) Peers(time.Time) []once.Peer   { return []once.Peer{{ID: 1}} }
+func (loneCluster) Forgot() bool                  { return false }
+func (loneCluster) Address(uint64) (string, bool) { return "", false }
+func (loneCluster) Sign(*http.Request)            {}
+
+// serve runs a service before the servers and returns its address.
+func serve(t *testing.T, t0 Targets, servers ...string) (string, *Service) {
+	t.Helper()
+	t0.ID, t0.Name, t0.Hosts = 7, "desk", []uint64{1}
+	for i, a := range servers {
+		t0.Servers = append(t0.Servers, Server{ID: uint64(100 + i), Name: fmt.Sprint("s", i), Address: a, Slots: 2, TakesNew: true})
+	}
+	o := NewOnce(loneCluster{}, 1)
+	s := NewService(&t0, Settings{Self: 1, Events: event.NewRing("h", "dc"), SendSlots: func(slots.Message) {}, Once: o, Method: pick.LeastLoaded{}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.Accept(c.(*net.TCPConn), netip.MustParseAddrPort("192.0.2.7:1234"))
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Drain(ctx)
+	})
+	return "http://" + l.Addr().String(), s
+}
+
+// web runs a server that handles requests with f.
+func web(t *testing.T, f http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// raw runs a server that does with each connection what f says after it read
+// a request's header.
+func raw(t *testing.T, f func(c net.Conn)) (address string, seen *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	seen = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					seen.Add(1)
+					f(c)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), seen
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func say(s string) func(c net.Conn) {
+	return func(c net.Conn) { _, _ = io.WriteString(c, s) }
+}
+
+// TestOutcomesOfFaultyServers is the contract with servers that misbehave.
+func TestOutcomesOfFaultyServers(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	cases := []struct {
+		name    string
+		method  string
+		server  func(c net.Conn)
+		status  int
+		outcome string
+		// tries is how often the server may see the request.
+		tries int64
+	}{
+		{"whole answer", "GET", say(answer), 200, "answered", 1},
+		{"closes without an answer, safe", "GET", say(""), 504, "unknown", 3},
+		{"closes without an answer, unsafe", "POST", say(""), 504, "unknown", 1},
+		{"garbage, unsafe", "POST", say("nonsense\r\n\r\n"), 504, "unknown", 1},
+		{"half a header, unsafe", "POST", say("HTTP/1.1 200 OK\r\nContent-Le"), 504, "unknown", 1},
+		{"sheds", "POST", say("HTTP/1.1 503 Busy\r\nLagoonramp-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"), 503, "not-run", 3},
+		{"503 that may have run", "POST", say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), 503, "answered", 1},
+		{"answers after the deadline", "POST", func(c net.Conn) { time.Sleep(time.Second); say(answer)(c) }, 504, "unknown", 1},
+		{"answers twice", "GET", say(answer + answer), 200, "answered", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address, seen := raw(t, c.server)
+			base, _ := serve(t, Targets{Deadline: 500 * time.Millisecond}, address)
+			req, err := http.NewRequest(c.method, base+"/x", strings.NewReader("body"))
+			is.NoErr(err)
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get(OutcomeHeader), c.outcome)
+			is.True(seen.Load() <= c.tries)
+		})
+	}
+}
+
+func TestAnswerThatBreaksOffIsNeverCompleted(t *testing.T) {
+	is := is.New(t)
+	address, _ := raw(t, say("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"))
+	base, _ := serve(t, Targets{}, address)
+	resp, err := http.Get(base + "/x")
+	if err != nil {
+		return // The connection ended before the header was passed on.
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil)
+}
+
+func TestUnreachableServerIsNotRun(t *testing.T) {
+	is := is.New(t)
+	base, _ := serve(t, Targets{}, closedAddress(t))
+	resp, err := http.Post(base+"/x", "text/plain", strings.NewReader("body"))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get(OutcomeHeader), "not-run")
+	is.True(resp.Header.Get("Retry-After") != "")
+}
+
+func TestNotRunIsTriedAtAnotherServer(t *testing.T) {
+	is := is.New(t)
+	good := web(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(b)
+	})
+	base, _ := serve(t, Targets{}, closedAddress(t), good)
+	for range 4 {
+		resp, err := http.Post(base+"/x", "text/plain", strings.NewReader("body"))
+		is.NoErr(err)
+		b, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(string(b), "body") // The whole body went to the second server.
+	}
+}
+
+func TestRefusalsOfBadRequests(t *testing.T) {
+	server := web(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	base, _ := serve(t, Targets{MaxBody: 10}, server)
+	host := strings.TrimPrefix(base, "http://")
+	cases := []struct{ name, request, status string }{
+		{"oversize", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n01234567890", "413"},
+		{"oversize in chunks", "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n", "413"},
+		{"two lengths", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+		{"unknown encoding", "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, x\r\n\r\n0\r\n\r\n", "501"},
+		{"space before the colon", "GET /x HTTP/1.1\r\nHost: a\r\nA : b\r\n\r\n", "400"},
+		{"upgrade", "GET /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", "501"},
+		{"bad timeout", "GET /x HTTP/1.1\r\nHost: a\r\nLagoonramp-Timeout: soon\r\n\r\n", "400"},
+		{"no host", "GET /x HTTP/1.1\r\n\r\n", "400"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", host)
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, c.request)
+			is.NoErr(err)
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			is.NoErr(err)
+			is.Equal(strings.Fields(line)[1], c.status)
+		})
+	}
+}
+
+func TestAmbiguousLengthIsWrittenAnew(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 2)
+	server := web(t, func(_ http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got <- fmt.Sprintf("%s %s %d", r.URL.Path, b, r.ContentLength)
+	})
+	base, _ := serve(t, Targets{}, server)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nX: y")
+	is.NoErr(err)
+	is.Equal(<-got, "/a  -1") // The server sees one request, framed by chunks only.
+}
+
+func TestHeadersTrailersAndInterimAnswers(t *testing.T) {
+	is := is.New(t)
+	var seen http.Header
+	server := web(t, func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Clone()
+		w.Header().Set("Link", "</a>; rel=preload")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Set("Trailer", "Sum")
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		_, _ = io.WriteString(w, "body")
+		w.Header().Set("Sum", "42")
+	})
+	base, _ := serve(t, Targets{}, server)
+	hints := 0
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			if code == http.StatusEarlyHints && h.Get("Link") != "" {
+				hints++
+			}
+			return nil
+		}})
+	req, err := http.NewRequestWithContext(ctx, "GET", base+"/x", nil)
+	is.NoErr(err)
+	req.Header.Set("Connection", "X-Mine")
+	req.Header.Set("X-Mine", "1")
+	req.Header.Set("X-Kept", "1")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(hints, 1)
+	is.Equal(resp.Trailer.Get("Sum"), "42")
+	is.Equal(resp.Header.Get("X-Hop"), "")
+	is.Equal(seen.Get("X-Mine"), "")
+	is.Equal(seen.Get("X-Kept"), "1")
+	is.Equal(seen.Get("X-Forwarded-For"), "192.0.2.7")
+	left, err := time.ParseDuration(seen.Get(TimeoutHeader))
+	is.NoErr(err)
+	is.True(left > 0 && left <= defaultDeadline)
+}
+
+func TestCallerThatLeavesCancelsAtTheServer(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{})
+	started := make(chan struct{})
+	server := web(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	base, _ := serve(t, Targets{}, server)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "GET", base+"/x", nil)
+	is.NoErr(err)
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(req)
+	is.True(errors.Is(err, context.Canceled))
+	<-cancelled
+}
+
+func TestSlowCallerHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 300<<10)
+	server := web(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+	base, s := serve(t, Targets{}, server)
+	for range 6 { // Three times the slots.
+		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		is.NoErr(err)
+		defer conn.Close()
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+	}
+	resp, err := http.Get(base + "/y")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(len(got), len(body))
+	_, waiting, _, _ := s.Desk().Stats()
+	is.Equal(waiting, 0)
+}
+
+// keyed posts with an idempotency key and returns the status and outcome.
+func keyed(t *testing.T, base, path, key string) (int, string, string) {
+	t.Helper()
+	req, err := http.NewRequest("POST", base+path, strings.NewReader("entry"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(KeyHeader, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header.Get(OutcomeHeader), string(b)
+}
+
+func TestRepeatsRunOnce(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	server := web(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(50 * time.Millisecond)
+		w.WriteHeader(http.StatusCreated)
+		_, _ = fmt.Fprintf(w, "run %d", runs.Add(1))
+	})
+	base, _ := serve(t, Targets{}, server)
+	var group sync.WaitGroup
+	for range 5 { // At once: they join the first one.
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			status, outcome, body := keyed(t, base, "/entries", "k1")
+			if status != 201 || outcome != "answered" || body != "run 1" {
+				t.Error(status, outcome, body)
+			}
+		}()
+	}
+	group.Wait()
+	_, outcome, body := keyed(t, base, "/entries", "k1")
+	is.Equal(outcome, "answered")
+	is.Equal(body, "run 1")
+	is.Equal(runs.Load(), int64(1))
+	status, outcome, _ := keyed(t, base, "/other", "k1")
+	is.Equal(status, 422)
+	is.Equal(outcome, "not-run")
+}
+
+func TestLostAnswerIsNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	address, seen := raw(t, say(""))
+	base, _ := serve(t, Targets{}, address)
+	for range 3 {
+		status, outcome, _ := keyed(t, base, "/entries", "k2")
+		is.Equal(status, 504)
+		is.Equal(outcome, "unknown")
+	}
+	is.Equal(seen.Load(), int64(1))
+}
+
+func TestNotRunMayBeRepeatedWithItsKey(t *testing.T) {
+	is := is.New(t)
+	var shed atomic.Bool
+	shed.Store(true)
+	server := web(t, func(w http.ResponseWriter, _ *http.Request) {
+		if shed.Load() {
+			w.Header().Set(OutcomeHeader, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	base, _ := serve(t, Targets{}, server)
+	_, outcome, _ := keyed(t, base, "/entries", "k3")
+	is.Equal(outcome, "not-run")
+	shed.Store(false)
+	status, outcome, _ := keyed(t, base, "/entries", "k3")
+	is.Equal(status, 200)
+	is.Equal(outcome, "answered")
+}
+
+func TestDrainLetsRequestsEnd(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	server := web(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(w, "whole")
+	})
+	base, s := serve(t, Targets{}, server)
+	done := make(chan string, 1)
+	go func() {
+		resp, err := http.Get(base + "/x")
+		if err != nil {
+			done <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		done <- string(b)
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(s.Drain(ctx))
+	is.Equal(<-done, "whole")
+}
+
+func BenchmarkForward(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer server.Close()
+	t0 := Targets{ID: 7, Name: "desk", Hosts: []uint64{1}, Servers: []Server{{ID: 5, Name: "s", Address: server.Listener.Addr().String(), Slots: 64, TakesNew: true}}}
+	s := NewService(&t0, Settings{Self: 1, Events: event.NewRing("h", "dc"), SendSlots: func(slots.Message) {}, Once: NewOnce(loneCluster{}, 1), Method: pick.LeastLoaded{}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.Accept(c.(*net.TCPConn), netip.MustParseAddrPort("192.0.2.7:1234"))
+		}
+	}()
+	for name, base := range map[string]string{"direct": server.URL, "forwarded": "http://" + l.Addr().String()} {
+		b.Run(name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+			var mu sync.Mutex
+			var times []time.Duration
+			b.RunParallel(func(pb *testing.PB) {
+				var own []time.Duration
+				for pb.Next() {
+					began := time.Now()
+					resp, err := client.Get(base + "/x")
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+					own = append(own, time.Since(began))
+				}
+				mu.Lock()
+				times = append(times, own...)
+				mu.Unlock()
+			})
+			reportPercentiles(b, times)
+		})
+	}
+}
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -284,8 +284,8 @@
 // runOnce runs a reserved request and keeps its outcome. The request goes on
 // when its caller leaves.
 func (o *Once) runOnce(x *exchange, w http.ResponseWriter, r *http.Request, res reservation, confirmed []uint64) {
-	x.service.detached.Add(1)
-	defer x.service.detached.Done()
+	x.service.detached.Enter()
+	defer x.service.detached.Leave()
 	rec := &recorder{limit: o.ledger.MaxBody()}
 	outcome := retry.Unknown
 	defer func() {
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lagoonramp.org/lagoonramp/internal/event"
+	"lagoonramp.org/lagoonramp/internal/track"
 	"lagoonramp.org/lagoonramp/pkg/pick"
 	"lagoonramp.org/lagoonramp/pkg/slots"
 )
@@ -49,7 +50,7 @@
 	cancel        context.CancelFunc
 	closing       atomic.Bool
 	// detached counts requests that go on without their caller.
-	detached sync.WaitGroup
+	detached track.Counter
 }
 
 // NewService returns a service that serves what it accepts.
@@ -118,16 +119,7 @@
 func (s *Service) Drain(ctx context.Context) error {
 	s.closing.Store(true)
 	err := s.server.Shutdown(ctx)
-	done := make(chan struct{})
-	go func() {
-		s.detached.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		err = errors.Join(err, ctx.Err())
-	}
+	err = errors.Join(err, s.detached.Wait(ctx))
 	s.cancel()
 	_ = s.server.Close()
 	s.pooled.CloseIdleConnections()
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -13,6 +13,7 @@
 
 	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/internal/proxyp"
+	"lagoonramp.org/lagoonramp/internal/track"
 	"lagoonramp.org/lagoonramp/pkg/pick"
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 )
@@ -62,7 +63,7 @@
 	watch   *pick.Watch
 	open    map[uint64]int
 	pairs   map[*pair]struct{}
-	group   sync.WaitGroup
+	active  track.Counter
 	// Accepted, Relayed and Refused count connections.
 	Accepted, Refused atomic.Uint64
 }
@@ -107,8 +108,8 @@
 
 // Accept implements Acceptor. It returns when the connection has ended.
 func (s *Service) Accept(conn *net.TCPConn, caller netip.AddrPort) {
-	s.group.Add(1)
-	defer s.group.Done()
+	s.active.Enter()
+	defer s.active.Leave()
 	s.Accepted.Add(1)
 	t := s.targets.Load()
 	tune(conn)
@@ -288,15 +289,8 @@
 // Drain waits until the connections have ended, at most until the context
 // ends, and then resets those that are left. It returns how many those were.
 func (s *Service) Drain(ctx context.Context) int {
-	done := make(chan struct{})
-	go func() {
-		s.group.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
+	if s.active.Wait(ctx) == nil {
 		return 0
-	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
