End flows to addresses that moved; read batches without allocation

Cause: an address that was removed and then given to another service was not quarantined, and flows pinned to it would have crossed. The library's batch read allocates an address for each datagram. Change: the last owner of an address is remembered 60 s and flows and connections to a moved address are ended; recvmmsg is called directly; a flow that gets no local port is not held.

--- a/internal/dgram/plane.go
+++ b/internal/dgram/plane.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/ipv4"
 
 	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/internal/peer"
@@ -207,16 +206,13 @@
 
 // readBatches reads datagrams until the socket is closed. The handle function
 // owns the packet.
-func (p *Plane) readBatches(conn *net.UDPConn, handle func(k *packet, n int, from net.Addr)) {
-	pc := ipv4.NewPacketConn(conn)
-	messages := make([]ipv4.Message, batch)
-	held := make([]*packet, batch)
-	for i := range messages {
-		held[i] = newPacket()
-		messages[i].Buffers = [][]byte{held[i].buf[:]}
+func (p *Plane) readBatches(conn *net.UDPConn, handle func(k *packet, n int, from netip.AddrPort)) {
+	r, err := newBatchReader(conn)
+	if err != nil {
+		return // The socket is closed already.
 	}
 	for {
-		n, err := pc.ReadBatch(messages, 0)
+		n, err := r.read()
 		if err != nil {
 			if p.closed.Load() || errors.Is(err, net.ErrClosed) {
 				return
@@ -224,16 +220,15 @@
 			continue
 		}
 		for i := range n {
-			handle(held[i], messages[i].N, messages[i].Addr)
-			held[i] = newPacket()
-			messages[i].Buffers[0] = held[i].buf[:]
+			k, size, from := r.take(i)
+			handle(k, size, from)
 		}
 	}
 }
 
 // fabricLoop reads callers' datagrams that the fabric hands over.
 func (p *Plane) fabricLoop() {
-	p.readBatches(p.set.Fabric, func(k *packet, n int, _ net.Addr) {
+	p.readBatches(p.set.Fabric, func(k *packet, n int, _ netip.AddrPort) {
 		h, size, err := proxyp.Parse(k.buf[:n])
 		s := p.tables.Load().ByAddress[h.Destination]
 		if err != nil || s == nil || h.Transport != proxyp.Datagram {
@@ -253,11 +248,10 @@
 // directLoop reads datagrams on a service's own address.
 func (p *Plane) directLoop(d *directSocket, service uint64) {
 	defer p.group.Done()
-	p.readBatches(d.conn, func(k *packet, n int, from net.Addr) {
+	p.readBatches(d.conn, func(k *packet, n int, from netip.AddrPort) {
 		p.counters.FromCallers.Add(1)
-		a := from.(*net.UDPAddr).AddrPort()
 		k.kind = fromCaller
-		k.key = flow.KeyOf(service, a)
+		k.key = flow.KeyOf(service, from)
 		k.ingress = p.set.Self
 		k.data = k.buf[:n]
 		p.hand(k)
@@ -267,7 +261,7 @@
 // peerLoop reads datagrams of other hosts.
 func (p *Plane) peerLoop() {
 	opener := peer.NewOpener(p.set.Keys)
-	p.readBatches(p.set.Peer, func(k *packet, n int, from net.Addr) {
+	p.readBatches(p.set.Peer, func(k *packet, n int, from netip.AddrPort) {
 		h, payload, err := opener.Open(k.buf[:n])
 		if err != nil {
 			p.counters.PeerRefused.Add(1)
@@ -280,20 +274,19 @@
 
 // learn notes where a host that is not in the tables sends from, so that it
 // can be answered before the membership names it.
-func (p *Plane) learn(host uint64, from net.Addr) {
+func (p *Plane) learn(host uint64, from netip.AddrPort) {
 	if _, ok := p.tables.Load().Peers[host]; ok {
 		return
 	}
-	u, ok := from.(*net.UDPAddr)
 	old := *p.learned.Load()
-	if !ok || old[host] == u.AddrPort() {
+	if old[host] == from {
 		return
 	}
 	next := map[uint64]netip.AddrPort{}
 	if len(old) < maxLearned {
 		maps.Copy(next, old)
 	}
-	next[host] = u.AddrPort()
+	next[host] = from
 	p.learned.Store(&next)
 }
 
@@ -306,7 +299,7 @@
 	return a, ok
 }
 
-func (p *Plane) fromPeer(k *packet, h *peer.Header, payload []byte, from net.Addr) {
+func (p *Plane) fromPeer(k *packet, h *peer.Header, payload []byte, from netip.AddrPort) {
 	p.learn(h.From, from)
 	switch h.Kind {
 	case peer.KindFlow, peer.KindReturn:
--- a/internal/dgram/tables.go
+++ b/internal/dgram/tables.go
@@ -44,6 +44,9 @@
 	Sets map[uint64]*flow.ServerSet
 	// Peers holds the hosts' addresses by ID.
 	Peers map[uint64]netip.AddrPort
+	// Moved holds the server addresses that lately became another service's,
+	// with the name of that service.
+	Moved map[netip.AddrPort]string
 }
 
 // load is what package flow asks of a server.
--- a/internal/dgram/worker.go
+++ b/internal/dgram/worker.go
@@ -32,9 +32,11 @@
 	ports   *portSet
 	proxied *localPort
 	actions []flow.Action
-	toPeers *outbox
-	toEdge  *outbox
-	addrs   map[netip.AddrPort]*net.UDPAddr
+	// unlinked lists flows that got no local port.
+	unlinked []flow.Key
+	toPeers  *outbox
+	toEdge   *outbox
+	addrs    map[netip.AddrPort]*net.UDPAddr
 }
 
 func newWorker(p *Plane, index int) *worker {
@@ -134,6 +136,24 @@
 	now := w.plane.now()
 	w.table.SetServers(now, t.Sets)
 	w.table.SetView(now, t.View)
+	w.endMoved()
+}
+
+// endMoved ends the flows to addresses that now belong to another service, so
+// that no datagram crosses.
+func (w *worker) endMoved() {
+	if len(w.tables.Moved) == 0 {
+		return
+	}
+	w.actions = w.actions[:0]
+	for key, l := range w.links {
+		to, ok := w.tables.Moved[l.to]
+		s := w.tables.Services[key.Service]
+		if ok && (s == nil || s.Name != to) {
+			w.actions = w.table.Drop(key, flow.ReasonMoved, w.actions)
+		}
+	}
+	w.act()
 }
 
 func (w *worker) handle(k *packet) {
@@ -235,6 +255,14 @@
 	}
 	clear(w.actions)
 	w.actions = w.actions[:0]
+	// A flow without a way to its server is not held; the next datagram tries
+	// again.
+	for _, key := range w.unlinked {
+		w.actions = w.table.Drop(key, flow.ReasonNoPort, w.actions[:0])
+		w.plane.counters.Ended[flow.ReasonNoPort].Add(1)
+	}
+	w.actions = w.actions[:0]
+	w.unlinked = w.unlinked[:0]
 }
 
 // open gives a new flow its way to the server.
@@ -246,7 +274,8 @@
 	server := s.Servers[a.Server]
 	port, err := w.portFor(s, server)
 	if err != nil {
-		w.plane.counters.Dropped[flow.ReasonFull].Add(1)
+		w.plane.counters.Dropped[flow.ReasonNoPort].Add(1)
+		w.unlinked = append(w.unlinked, a.Key)
 		return
 	}
 	server.Flows.Add(1)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -105,9 +105,11 @@
 	// quarantine holds until when a server address rests, by service and
 	// address.
 	quarantine map[string]time.Time
-	ramps      map[uint64]*rampState
-	rebuildAt  time.Time
-	adoptedAt  time.Time
+	// owners holds which service had each server address last.
+	owners    map[string]owner
+	ramps     map[uint64]*rampState
+	rebuildAt time.Time
+	adoptedAt time.Time
 	// forgotUntil is when the loss of the former process's memory is over.
 	forgotUntil time.Time
 }
@@ -138,7 +140,7 @@
 		sealer: peer.NewSealer(h.keys[0], h.id, start, 0),
 		rng:    rand.New(rand.NewPCG(start, h.id)),
 		seen:   map[string]time.Time{}, lost: map[string]time.Time{},
-		quarantine: map[string]time.Time{}, ramps: map[uint64]*rampState{},
+		quarantine: map[string]time.Time{}, owners: map[string]owner{}, ramps: map[uint64]*rampState{},
 	}
 	c := &h.control
 	self := memb.Member{Name: set.Name, Address: set.Peer, Joining: true, Forgot: true, Incarnation: uint64(h.started.UnixMilli())}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -30,7 +30,7 @@
 	} {
 		metrics.WriteCounterUint64(w, m.name, m.value.Load())
 	}
-	for r := flow.ReasonIdle; r <= flow.ReasonHops; r++ {
+	for r := flow.ReasonIdle; r <= flow.ReasonNoPort; r++ {
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_flows_ended_total{reason=%q}`, r), c.Ended[r].Load())
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_datagrams_dropped_total{reason=%q}`, r), c.Dropped[r].Load())
 	}
--- a/internal/host/routes.go
+++ b/internal/host/routes.go
@@ -66,33 +66,38 @@
 // serverID names a server of a service.
 func serverID(service, server string) uint64 { return rendez.Hash(service + "/" + server) }
 
+// owner is the service that an address belonged to, and until when that
+// counts.
+type owner struct {
+	service string
+	until   time.Time
+}
+
 // quarantineMoved notes the server addresses that the new configuration gives
-// to another service than the old one did.
+// to another service than the one that had them last. An address that was
+// removed in between is remembered for quarantineTime.
 func (h *Host) quarantineMoved() {
 	c := &h.control
-	old := h.routes.Load().adopted
-	if old == nil {
-		return
+	now := time.Now()
+	if old := h.routes.Load().adopted; old != nil {
+		old.Document.EachServer(func(s *conf.Service, v *conf.Server) {
+			c.owners[v.Address] = owner{service: s.Name, until: now.Add(quarantineTime)}
+		})
 	}
-	owner := map[string]string{}
-	for _, sec := range old.Document.Teams {
-		for _, s := range sec.Services {
-			for _, v := range s.Servers {
-				owner[v.Address] = s.Name
-			}
+	for a, o := range c.owners {
+		if now.After(o.until) {
+			delete(c.owners, a)
 		}
 	}
-	for _, sec := range c.adopter.InForce().Document.Teams {
-		for _, s := range sec.Services {
-			for _, v := range s.Servers {
-				if was, ok := owner[v.Address]; ok && was != s.Name {
-					c.quarantine[v.Address] = time.Now().Add(quarantineTime)
-					h.events.Add(event.Event{Kind: event.Quarantined, Service: s.Name, Server: v.Name,
-						Cause: "the address belonged to " + was})
-				}
-			}
+	c.adopter.InForce().Document.EachServer(func(s *conf.Service, v *conf.Server) {
+		was, ok := c.owners[v.Address]
+		if !ok || was.service == s.Name {
+			return
 		}
-	}
+		c.quarantine[v.Address] = now.Add(quarantineTime)
+		h.events.Add(event.Event{Kind: event.Quarantined, Service: s.Name, Server: v.Name,
+			Cause: "the address belonged to " + was.service})
+	})
 }
 
 // builder makes routes and tables from what is in force.
@@ -118,7 +123,8 @@
 			tcp: map[string]*relay.Service{}, byID: map[uint64]*front.Service{},
 			loads: map[uint64]*atomic.Int64{}, resting: map[string]bool{}},
 		tables: &dgram.Tables{View: v.flow, Peers: v.peers, Services: map[uint64]*dgram.Service{},
-			ByAddress: map[netip.AddrPort]*dgram.Service{}, Sets: map[uint64]*flow.ServerSet{}},
+			ByAddress: map[netip.AddrPort]*dgram.Service{}, Sets: map[uint64]*flow.ServerSet{},
+			Moved: map[netip.AddrPort]string{}},
 		accept: map[netip.AddrPort]relay.Acceptor{},
 	}
 	b.first = b.old.adopted == nil
@@ -138,6 +144,12 @@
 	if err := h.ingress.SetServices(b.accept); err != nil {
 		h.listenFailed(err)
 	}
+	for name, s := range b.next.tcp {
+		s.EndMoved(name, b.tables.Moved)
+	}
+	for name, s := range b.old.tcp {
+		s.EndMoved(name, b.tables.Moved)
+	}
 	b.retire()
 	if b.ramping || len(b.next.resting) > 0 {
 		h.control.rebuildAt = time.Now().Add(rampStep)
@@ -180,10 +192,11 @@
 }
 
 // takesNew reports whether a server takes new work, and notes a quarantine.
-func (b *builder) takesNew(v *conf.Server) bool {
+func (b *builder) takesNew(service string, v *conf.Server) bool {
 	until, ok := b.host.control.quarantine[v.Address]
 	if ok && time.Now().Before(until) {
 		b.next.resting[v.Address] = true
+		b.tables.Moved[v.AddrPort()] = service
 		return false
 	}
 	delete(b.host.control.quarantine, v.Address)
@@ -229,7 +242,7 @@
 		b.next.loads[id] = n
 		svc.Servers[id] = &dgram.Server{ID: id, Name: v.Name, Address: v.AddrPort(),
 			Limit: b.share(v.Connections), Weight: b.weight(id), Flows: n}
-		if b.takesNew(v) {
+		if b.takesNew(s.Name, v) {
 			set.IDs = append(set.IDs, id)
 		} else {
 			set.Holding = append(set.Holding, id)
@@ -245,7 +258,7 @@
 	for i := range servers {
 		v := &servers[i]
 		t.Servers = append(t.Servers, relay.Server{ID: serverID(s.Name, v.Name), Name: v.Name, Address: v.Address,
-			Limit: b.share(v.Connections), TakesNew: b.takesNew(v)})
+			Limit: b.share(v.Connections), TakesNew: b.takesNew(s.Name, v)})
 	}
 	svc := b.old.tcp[s.Name]
 	if svc == nil {
@@ -265,7 +278,7 @@
 	for i := range servers {
 		v := &servers[i]
 		t.Servers = append(t.Servers, front.Server{ID: serverID(s.Name, v.Name), Name: v.Name, Address: v.Address,
-			Slots: v.Slots, TakesNew: b.takesNew(v)})
+			Slots: v.Slots, TakesNew: b.takesNew(s.Name, v)})
 	}
 	svc := b.old.http[s.Name]
 	if svc == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -104,10 +104,9 @@
 
 func TestDeadServerIsLeftForAnother(t *testing.T) {
 	is := is.New(t)
-	dead := listen(t, func(*net.TCPConn) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	dead = l.Addr().String()
+	dead := l.Addr().String()
 	is.NoErr(l.Close())
 	good := listen(t, func(c *net.TCPConn) {
 		defer c.Close()
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -286,6 +286,23 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// EndMoved resets the connections to addresses that now belong to another
+// service, so that none crosses.
+func (s *Service) EndMoved(name string, moved map[netip.AddrPort]string) {
+	if len(moved) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.pairs {
+		a := p.server.RemoteAddr().(*net.TCPAddr).AddrPort()
+		if to, ok := moved[netip.AddrPortFrom(a.Addr().Unmap(), a.Port())]; ok && to != name {
+			abort(p.caller)
+			abort(p.server)
+		}
+	}
+}
+
 // Drain waits until the connections have ended, at most until the context
 // ends, and then resets those that are left. It returns how many those were.
 func (s *Service) Drain(ctx context.Context) int {
--- a/pkg/conf/document.go
+++ b/pkg/conf/document.go
@@ -149,3 +149,15 @@
 
 // AddrPort returns the server's address. It must have passed Check.
 func (s *Server) AddrPort() netip.AddrPort { return netip.MustParseAddrPort(s.Address) }
+
+// EachServer calls f with every server of the document.
+func (d *Document) EachServer(f func(s *Service, v *Server)) {
+	for _, section := range d.Teams {
+		for i := range section.Services {
+			s := &section.Services[i]
+			for j := range s.Servers {
+				f(s, &s.Servers[j])
+			}
+		}
+	}
+}
--- a/pkg/flow/message.go
+++ b/pkg/flow/message.go
@@ -75,9 +75,13 @@
 	ReasonNoHost
 	ReasonFull
 	ReasonHops
+	// ReasonMoved: the server's address became another service's.
+	ReasonMoved
+	// ReasonNoPort: no local port is left towards the server.
+	ReasonNoPort
 )
 
-var reasonNames = [...]string{"", "idle", "closed", "silent", "evicted", "noServer", "noHost", "full", "hops"}
+var reasonNames = [...]string{"", "idle", "closed", "silent", "evicted", "noServer", "noHost", "full", "hops", "moved", "noPort"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
--- a/pkg/flow/table.go
+++ b/pkg/flow/table.go
@@ -158,6 +158,15 @@
 	return e.ingress, true
 }
 
+// Drop ends a flow that is held here, for a reason of the embedder. It appends
+// what to do to out and returns it.
+func (t *Table) Drop(key Key, why Reason, out []Action) []Action {
+	if i, ok := t.slab.index[key]; ok && t.slab.entries[i].state == held {
+		return t.end(i, why, out)
+	}
+	return out
+}
+
 // touch moves an entry in the order of use if it was not moved lately.
 func (t *Table) touch(now time.Duration, i int32) {
 	e := &t.slab.entries[i]
