--- /dev/null
+++ b/pkg/store/store_test.go
@@ -0,0 +1,127 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/internal/fakes"
+	"lagoonramp.org/lagoonramp/pkg/store"
+)
+
+func client(t *testing.T, set store.Settings) (*fakes.Platform, *store.Client) {
+	t.Helper()
+	p := fakes.NewPlatform()
+	srv := httptest.NewServer(p)
+	set.URL = srv.URL
+	c := store.New(set)
+	t.Cleanup(func() { c.Close(); srv.CloseClientConnections(); srv.Close() })
+	return p, c
+}
+
+// TestWritesUnderFaults is the contract of writes with the platform.
+func TestWritesUnderFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults fakes.PlatformFaults
+		value  []byte
+		want   error
+		// written tells whether the value is there afterwards.
+		written bool
+	}{
+		{"none", fakes.PlatformFaults{}, []byte("v"), nil, true},
+		{"lost answer", fakes.PlatformFaults{LoseAnswers: 1}, []byte("v"), store.ErrUnknown, true},
+		{"down", fakes.PlatformFaults{Down: true}, []byte("v"), store.ErrUnknown, false},
+		{"slower than the deadline", fakes.PlatformFaults{Delay: time.Second}, []byte("v"), store.ErrUnknown, false},
+		{"too large", fakes.PlatformFaults{}, make([]byte, store.MaxValue+1), store.ErrTooLarge, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p, kv := client(t, store.Settings{Timeout: 300 * time.Millisecond})
+			p.SetFaults(c.faults)
+			_, err := kv.Swap(context.Background(), "k", c.value, 0, 0)
+			is.True(errors.Is(err, c.want))
+			p.SetFaults(fakes.PlatformFaults{})
+			v, err := kv.Get(context.Background(), "k")
+			is.NoErr(err)
+			is.Equal(v.Version > 0, c.written)
+		})
+	}
+}
+
+func TestSwapComparesVersions(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, kv := client(t, store.Settings{})
+	v1, err := kv.Swap(ctx, "k", []byte("a"), 0, 0)
+	is.NoErr(err)
+	_, err = kv.Swap(ctx, "k", []byte("b"), 0, 0)
+	is.True(errors.Is(err, store.ErrConflict))
+	v2, err := kv.Swap(ctx, "k", []byte("b"), v1, 0)
+	is.NoErr(err)
+	is.True(v2 > v1)
+	is.True(errors.Is(kv.Delete(ctx, "k", v1), store.ErrConflict))
+	is.NoErr(kv.Delete(ctx, "k", v2))
+	got, err := kv.Get(ctx, "k")
+	is.NoErr(err)
+	is.Equal(got.Version, uint64(0))
+}
+
+func TestLeaseEndsAndCannotBeRenewed(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, kv := client(t, store.Settings{})
+	v, err := kv.Swap(ctx, "k", []byte("a"), 0, 50*time.Millisecond)
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond) // A holder that was paused.
+	got, err := kv.Get(ctx, "k")
+	is.NoErr(err)
+	is.Equal(got.Version, uint64(0))
+	is.True(errors.Is(kv.Renew(ctx, "k", v, time.Second), store.ErrLeaseGone))
+}
+
+func TestWatchSeesAChangeAndEndsByItself(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, kv := client(t, store.Settings{})
+	v, err := kv.Watch(ctx, "k", 0, 20*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(v.Version, uint64(0))
+	done := make(chan store.Value, 1)
+	go func() {
+		v, _ := kv.Watch(ctx, "k", 0, 20*time.Second)
+		done <- v
+	}()
+	_, err = kv.Swap(ctx, "k", []byte("new"), 0, 0)
+	is.NoErr(err)
+	is.Equal(string((<-done).Data), "new")
+}
+
+func TestClientCapsItsOwnRate(t *testing.T) {
+	is := is.New(t)
+	p, kv := client(t, store.Settings{CallsPerSecond: 0.001, Burst: 3, Retries: 1, Timeout: 50 * time.Millisecond})
+	refused := 0
+	for range 6 {
+		if _, err := kv.Watch(context.Background(), "k", 0, 0); errors.Is(err, store.ErrRate) {
+			refused++
+		}
+	}
+	is.Equal(refused, 3)
+	is.Equal(p.Calls(), 3)
+}
+
+func TestPlatformsRateIsTold(t *testing.T) {
+	is := is.New(t)
+	p, kv := client(t, store.Settings{Retries: 1})
+	p.SetFaults(fakes.PlatformFaults{CallsPerSecond: 1})
+	_, err := kv.Swap(context.Background(), "a", nil, 0, 0)
+	is.NoErr(err)
+	_, err = kv.Swap(context.Background(), "b", nil, 0, 0)
+	is.True(errors.Is(err, store.ErrRate)) // Definite: it was not written.
+	is.True(!errors.Is(err, store.ErrUnknown))
+}
