Bound the bytes of kept answers

Change: beyond 16 MiB only that the request was answered is kept. Measured: a ledger of 25 bytes keeps two of five answers of 10 bytes and knows that all five were answered.

--- a/pkg/once/ledger.go
+++ b/pkg/once/ledger.go
@@ -55,12 +55,16 @@
 	MaxRecords int
 	// MaxBody bounds the bytes of a kept answer. The default is 16 KiB.
 	MaxBody int
+	// MaxBytes bounds the bytes of all kept answers; beyond it, only that the
+	// request was answered is kept. The default is 16 MiB.
+	MaxBytes int
 }
 
 const (
 	defaultWindow     = 10 * time.Minute
 	defaultMaxRecords = 50_000
 	defaultMaxBody    = 16 << 10
+	defaultMaxBytes   = 16 << 20
 )
 
 // Verdict is what a host does with a request.
@@ -91,6 +95,8 @@
 	records map[string]*Record
 	// order lists keys by age for expiry.
 	order []aged
+	// bytes is the size of the kept answers' bodies.
+	bytes int
 }
 
 type aged struct {
@@ -109,6 +115,9 @@
 	if set.MaxBody == 0 {
 		set.MaxBody = defaultMaxBody
 	}
+	if set.MaxBytes == 0 {
+		set.MaxBytes = defaultMaxBytes
+	}
 	return &Ledger{set: set, self: self, records: map[string]*Record{}}
 }
 
@@ -209,11 +218,35 @@
 		return
 	}
 	r.State = s
-	r.Answer = a
+	l.keep(r, a)
 	r.At = now
 	r.wake()
 }
 
+// keep stores an answer in a record, without its body if the bound of bytes
+// is reached.
+func (l *Ledger) keep(r *Record, a *Answer) {
+	l.drop(r)
+	r.Answer = a
+	if a == nil {
+		return
+	}
+	if l.bytes+len(a.Body) > l.set.MaxBytes {
+		short := *a
+		short.Body = nil
+		short.Truncated = true
+		r.Answer = &short
+	}
+	l.bytes += len(r.Answer.Body)
+}
+
+// drop no longer counts a record's answer.
+func (l *Ledger) drop(r *Record) {
+	if r.Answer != nil {
+		l.bytes -= len(r.Answer.Body)
+	}
+}
+
 // Release forgets a key whose request was not run. Where it is reserved for
 // another host, only that host may release it, for the same run.
 func (l *Ledger) Release(key string, host, run uint64) {
@@ -256,6 +289,7 @@
 			l.order = append(l.order, aged{a.key, now})
 			continue
 		}
+		l.drop(r)
 		delete(l.records, a.key)
 	}
 }
@@ -279,17 +313,17 @@
 	if known != nil && (known.State != Reserved || r.State != Answered) {
 		return
 	}
-	r.Answer = a
+	r.Answer = nil
 	r.waiters = nil
 	r.At = now
 	if r.State == Running {
 		r.State = Reserved
 	}
-	if known != nil {
+	switch {
+	case known != nil:
 		*known = r
-		return
-	}
-	if len(l.records) < l.set.MaxRecords {
-		l.add(now, key, r)
+		l.keep(known, a)
+	case len(l.records) < l.set.MaxRecords:
+		l.keep(l.add(now, key, r), a)
 	}
 }
--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -31,6 +31,22 @@
 	is.Equal(l.Len(), 1) // The old record is gone.
 }
 
+func TestKeptAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(1, Settings{MaxBytes: 25})
+	for i := range 5 {
+		key := fmt.Sprint(i)
+		l.Begin(0, key, 7)
+		l.Finish(0, key, &Answer{Status: 201, Body: make([]byte, 10)})
+	}
+	is.Equal(l.bytes, 20)
+	v, r := l.Begin(time.Second, "4", 7)
+	is.Equal(v, Replay) // That it was answered is known still.
+	is.True(r.Answer.Truncated)
+	l.Begin(20*time.Minute, "new", 7)
+	is.Equal(l.bytes, 0)
+}
+
 func TestLostIsNeverRunAgain(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger(1, Settings{})
