--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -140,16 +140,25 @@
 	c.spawn(ctx, count, func(ctx context.Context) { c.datagramFlow(ctx, service, address) })
 }
 
+// dialFrom opens a datagram socket with a source address of its own: to a
+// balancer, a new flow from an old flow's address and port is the old flow.
+func dialFrom(id int, address string) (net.Conn, error) {
+	local := net.IPv4(127, byte(1+id>>16), byte(id>>8), byte(id))
+	d := net.Dialer{LocalAddr: &net.UDPAddr{IP: local}}
+	return d.Dial("udp", address)
+}
+
 // datagramFlow sends datagrams and checks that all answers are its own and
 // come from one server.
 func (c *Callers) datagramFlow(ctx context.Context, service, address string) {
-	conn, err := net.Dial("udp", address)
+	id := c.began()
+	conn, err := dialFrom(id, address)
 	if err != nil {
+		c.ended("a caller could not open a socket: " + err.Error())
 		sleep(ctx, flowPause)
 		return
 	}
 	defer conn.Close()
-	id := c.began()
 	server := ""
 	broken := ""
 	answered := time.Now()
--- a/internal/demo/quic_test.go
+++ b/internal/demo/quic_test.go
@@ -81,7 +81,7 @@
 	is.NoErr(err)
 	defer w.Close()
 	cert := certificate(t)
-	address, err := FreeAddress()
+	address, err := w.FreeAddress()
 	is.NoErr(err)
 	service := conf.Service{Name: "catalogue-press", Address: address, Protocol: conf.UDP,
 		IdleTimeout: conf.Duration(8 * time.Second)}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -104,7 +104,7 @@
 			*v.keep = servers
 		}
 		s.all = append(s.all, servers...)
-		address, err := FreeAddress()
+		address, err := s.world.FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,6 +34,8 @@
 	platform *httptest.Server
 	log      *zap.Logger
 	drain    time.Duration
+	// addresses counts the addresses that were given out.
+	addresses atomic.Uint32
 
 	mu    sync.Mutex
 	hosts []*Node
@@ -78,15 +82,22 @@
 	return slices.Clone(w.hosts)
 }
 
-// FreeAddress returns a loopback address that is free for UDP and TCP.
-func FreeAddress() (string, error) {
-	const tries = 50
+// FreeAddress returns a loopback address that is free for UDP and TCP. Each is
+// on an IP number of its own, which outgoing connections do not use, so that
+// nobody takes the port in between.
+func (w *World) FreeAddress() (string, error) {
+	const (
+		tries      = 200
+		port       = 7000
+		firstOctet = 100
+	)
 	for range tries {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		n := w.addresses.Add(1)
+		address := fmt.Sprintf("127.%d.%d.%d:%d", firstOctet+os.Getpid()%100, n>>8&0xff, n&0xff, port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := l.Addr().String()
 		u, err := net.ListenPacket("udp", address)
 		_ = l.Close()
 		if err != nil {
@@ -108,7 +119,7 @@
 		Limits:  setup.Limits{Workers: 2, Drain: conf.Duration(w.drain), CallerConnections: 4096},
 	}
 	for _, a := range []*string{&set.Peer, &set.Admin, &set.Ingress.UDP, &set.Ingress.TCP} {
-		free, err := FreeAddress()
+		free, err := w.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -6,10 +6,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"net"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,14 +26,15 @@
 
 const secret = "00112233445566778899aabbccddeeff"
 
+// addresses counts the addresses that tests took.
+var addresses atomic.Uint32
+
+// free returns an address on an IP number of its own, which outgoing
+// connections do not use.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:7000", 201+os.Getpid()%50, n>>8&0xff, n&0xff)
 }
 
 func hashOf(token string) string {
