Share the virtual clock between experiments and tests

Cause: the event queue stood twice, in internal/exper and in pkg/flow's tests. Conclusion: one kernel for virtual time.

--- a/internal/exper/flows.go
+++ b/internal/exper/flows.go
@@ -107,7 +107,7 @@
 	for i := range p.hosts {
 		w.active = append(w.active, i)
 	}
-	w.now = time.Hour // Long after the hosts' start.
+	w.Set(time.Hour) // Long after the hosts' start.
 	w.net = make(w)
 	w.tell()
 	return w
@@ -129,24 +129,24 @@
 
 // run plays the plan and returns what was counted.
 func (w *flowWorld) run() flowResult {
-	start := w.now
+	start := w.Now()
 	w.arrivals(start)
 	w.script(start)
-	w.until(start + w.plan.end)
+	w.Until(start + w.plan.end)
 	w.measure()
 	return w.result
 }
 
 func (w *flowWorld) gapToNext(start time.Duration) time.Duration {
 	rate := w.plan.rate
-	if t := w.now - start; w.plan.swing > 0 && t >= w.plan.swingFrom && t < w.plan.swingTo {
+	if t := w.Now() - start; w.plan.swing > 0 && t >= w.plan.swingFrom && t < w.plan.swingTo {
 		rate *= w.plan.swing
 	}
 	return w.exp(time.Duration(float64(time.Second) / rate))
 }
 
 func (w *flowWorld) arrivals(start time.Duration) {
-	w.after(w.gapToNext(start), func() {
+	w.After(w.gapToNext(start), func() {
 		w.open()
 		w.arrivals(start)
 	})
@@ -156,7 +156,7 @@
 	p := w.plan
 	step := func(at time.Duration, f func()) {
 		if at > 0 {
-			w.at(start+at, f)
+			w.At(start+at, f)
 		}
 	}
 	step(p.join, func() {
@@ -188,7 +188,7 @@
 	w.net.crash(victim)
 	w.active = slices.DeleteFunc(w.active, func(h int) bool { return h == victim })
 	w.lost = append(w.lost, victim)
-	w.after(deathAfter, w.tell)
+	w.After(deathAfter, w.tell)
 }
 
 // sortedFlows returns the open flows in a fixed order.
@@ -212,7 +212,7 @@
 	for _, f := range w.sortedFlows() {
 		if f.server != 0 && w.rng.Float64() < w.plan.silentShare {
 			f.muted = true
-			w.muted[f.key] = w.now
+			w.muted[f.key] = w.Now()
 			w.result.silenced++
 		}
 	}
@@ -226,7 +226,7 @@
 		k.Service = otherID
 	}
 	k.Caller[12], k.Caller[13], k.Caller[14] = byte(w.serial>>32), byte(w.serial>>24), byte(w.serial>>16)
-	f := &simFlow{key: k, end: w.now + w.exp(w.plan.life)}
+	f := &simFlow{key: k, end: w.Now() + w.exp(w.plan.life)}
 	// One flow in ten is a long download: its caller says nothing.
 	f.quiet = w.plan.silentAt > 0 && w.serial%10 == 0
 	w.flows[k] = f
@@ -236,28 +236,28 @@
 
 // send hands a datagram to any host and plans the next one.
 func (w *flowWorld) send(f *simFlow) {
-	if w.now >= f.end {
+	if w.Now() >= f.end {
 		delete(w.flows, f.key)
 		return
 	}
 	w.net.packet(w.anyHost(), f.key)
 	if f.quiet && f.server != 0 {
-		w.after(w.plan.gap, func() { w.push(f) })
+		w.After(w.plan.gap, func() { w.push(f) })
 		return
 	}
-	w.after(w.plan.gap/2+time.Duration(w.rng.Int64N(int64(w.plan.gap))), func() { w.send(f) })
+	w.After(w.plan.gap/2+time.Duration(w.rng.Int64N(int64(w.plan.gap))), func() { w.send(f) })
 }
 
 // push sends a datagram of a download from the server.
 func (w *flowWorld) push(f *simFlow) {
-	if w.now >= f.end {
+	if w.Now() >= f.end {
 		delete(w.flows, f.key)
 		return
 	}
 	if l, ok := w.net.(*ownerNet); ok && !f.muted {
 		l.reply(f.key)
 	}
-	w.after(w.plan.gap, func() { w.push(f) })
+	w.After(w.plan.gap, func() { w.push(f) })
 }
 
 // anyHost returns a host that the fabric takes for usable.
@@ -322,7 +322,7 @@
 			n.sets[i] = s
 			continue
 		}
-		n.w.after(n.w.between(0, learnWithin), func() { n.sets[i] = s })
+		n.w.After(n.w.between(0, learnWithin), func() { n.sets[i] = s })
 	}
 }
 
--- a/internal/exper/owner.go
+++ b/internal/exper/owner.go
@@ -26,11 +26,11 @@
 		loads := map[uint64]int{}
 		n.pinned = append(n.pinned, loads)
 		n.tables = append(n.tables, flow.NewTable(flow.Settings{}, flow.LoadFunc(func(s uint64) float64 { return float64(loads[s]) })))
-		w.every(flowTick+time.Duration(i)*time.Millisecond, func() bool {
+		w.Every(flowTick+time.Duration(i)*time.Millisecond, func() bool {
 			if n.dead[i] {
 				return false
 			}
-			n.do(i, n.tables[i].Tick(w.now, n.actions[:0]))
+			n.do(i, n.tables[i].Tick(w.Now(), n.actions[:0]))
 			return true
 		})
 	}
@@ -53,18 +53,18 @@
 	for i := range n.tables {
 		set := func() {
 			t := n.tables[i]
-			t.SetServers(w.now, map[uint64]*flow.ServerSet{serviceID: servers, otherID: servers})
-			t.SetView(w.now, &flow.View{Self: w.hosts[i], Active: active, Leaving: leaving, Lost: lost})
+			t.SetServers(w.Now(), map[uint64]*flow.ServerSet{serviceID: servers, otherID: servers})
+			t.SetView(w.Now(), &flow.View{Self: w.hosts[i], Active: active, Leaving: leaving, Lost: lost})
 		}
 		switch {
 		case n.first:
 			set()
 		case len(lost) > 0:
-			w.after(w.between(0, deathWithin), set)
-		case i == w.plan.hosts && w.now < time.Hour+w.plan.join+time.Second:
+			w.After(w.between(0, deathWithin), set)
+		case i == w.plan.hosts && w.Now() < time.Hour+w.plan.join+time.Second:
 			set() // The host that joins knows itself first.
 		default:
-			w.after(w.between(0, learnWithin), set)
+			w.After(w.between(0, learnWithin), set)
 		}
 	}
 	n.first = false
@@ -76,13 +76,13 @@
 	if n.dead[host] {
 		return
 	}
-	n.do(host, n.tables[host].Packet(n.w.now, key, flow.HintNone, 0, nil, n.actions[:0]))
+	n.do(host, n.tables[host].Packet(n.w.Now(), key, flow.HintNone, 0, nil, n.actions[:0]))
 }
 
 // reply is a datagram of the server to the caller.
 func (n *ownerNet) reply(key flow.Key) {
 	if h := n.holder(key); h >= 0 {
-		n.tables[h].Reply(n.w.now, key)
+		n.tables[h].Reply(n.w.Now(), key)
 	}
 }
 
@@ -118,7 +118,7 @@
 		return
 	}
 	w.deliver(a.Key, a.Server)
-	n.tables[host].Reply(w.now, a.Key)
+	n.tables[host].Reply(w.Now(), a.Key)
 }
 
 // silentEnded notes that a flow was found to be silent.
@@ -131,7 +131,7 @@
 	}
 	delete(w.muted, key)
 	w.result.silentFound++
-	w.result.silentWorst = max(w.result.silentWorst, w.now-at)
+	w.result.silentWorst = max(w.result.silentWorst, w.Now()-at)
 	if f := w.flows[key]; f != nil {
 		// The new path works; the server may be another one.
 		f.muted = false
@@ -154,13 +154,13 @@
 		if w.rng.Float64() < w.plan.loss {
 			continue
 		}
-		w.after(w.between(hostDelay, hostDelay+hostJitter), func() {
+		w.After(w.between(hostDelay, hostDelay+hostJitter), func() {
 			i, ok := n.index[m.To]
 			if !ok || n.dead[i] {
 				return
 			}
 			c := m
-			n.do(i, n.tables[i].Message(w.now, &c, nil))
+			n.do(i, n.tables[i].Message(w.Now(), &c, nil))
 		})
 	}
 }
--- a/internal/exper/policies.go
+++ b/internal/exper/policies.go
@@ -49,11 +49,11 @@
 		p.index[id] = i
 		p.desks = append(p.desks, desk.New(set))
 		p.ledgers = append(p.ledgers, once.NewLedger(id, once.Settings{}))
-		w.every(deskTick+time.Duration(i)*100*time.Microsecond, func() bool {
+		w.Every(deskTick+time.Duration(i)*100*time.Microsecond, func() bool {
 			if w.hosts[i].dead {
 				return false
 			}
-			p.desks[i].Tick(w.now, &p.out)
+			p.desks[i].Tick(w.Now(), &p.out)
 			p.carryOut(i)
 			return true
 		})
@@ -66,7 +66,7 @@
 func (p *deskPolicy) changed() {
 	for i, d := range p.desks {
 		if !p.w.hosts[i].dead {
-			d.Set(p.w.now, p.w.deskServers(), p.w.hosts[i].activeHosts(), p.first, &p.out)
+			d.Set(p.w.Now(), p.w.deskServers(), p.w.hosts[i].activeHosts(), p.first, &p.out)
 			p.carryOut(i)
 		}
 	}
@@ -86,13 +86,13 @@
 	w := p.w
 	h := w.hosts[host]
 	hash := rendez.Hash(r.key)
-	plan := once.MakePlan(w.now, hash, h.id, h.known, p.ledgers[host].Window())
+	plan := once.MakePlan(w.Now(), hash, h.id, h.known, p.ledgers[host].Window())
 	owner, ok := p.index[plan.Owner]
 	if !ok || w.hosts[owner].dead || w.hosts[owner].part != h.part {
 		w.conclude(r, unknown)
 		return
 	}
-	w.after(w.between(hostDelay, hostDelay+hostJitter), func() { p.lead(owner, hash, r) })
+	w.After(w.between(hostDelay, hostDelay+hostJitter), func() { p.lead(owner, hash, r) })
 }
 
 // lead handles a keyed request at the host that was taken for its owner.
@@ -104,12 +104,12 @@
 		return
 	}
 	ledger := p.ledgers[host]
-	plan := once.MakePlan(w.now, hash, h.id, h.known, ledger.Window())
+	plan := once.MakePlan(w.Now(), hash, h.id, h.known, ledger.Window())
 	if plan.Owner != h.id {
 		w.conclude(r, unknown)
 		return
 	}
-	verdict, _ := ledger.Begin(w.now, r.key, 1)
+	verdict, _ := ledger.Begin(w.Now(), r.key, 1)
 	switch verdict {
 	case once.Proceed:
 	case once.Replay:
@@ -130,11 +130,11 @@
 	p.offer(host, r, func(o outcome) {
 		switch o {
 		case answered, failed:
-			ledger.Finish(w.now, r.key, &once.Answer{Status: 201})
+			ledger.Finish(w.Now(), r.key, &once.Answer{Status: 201})
 		case notRun:
 			p.release(h, r.key, confirmed, run)
 		case unknown:
-			ledger.Lose(w.now, r.key)
+			ledger.Lose(w.Now(), r.key)
 		}
 		w.conclude(r, o)
 	})
@@ -148,7 +148,7 @@
 		if o.dead || o.part != h.part {
 			continue
 		}
-		known, ok := p.ledgers[o.index].Reserve(w.now, key, 1, h.id, run)
+		known, ok := p.ledgers[o.index].Reserve(w.Now(), key, 1, h.id, run)
 		if known != nil {
 			return confirmed, false
 		}
@@ -177,7 +177,7 @@
 	}
 	x := &admitted{req: r, done: done}
 	a.Value = x
-	if why := d.Offer(w.now, a, &p.out); why != admit.Accepted {
+	if why := d.Offer(w.Now(), a, &p.out); why != admit.Accepted {
 		done(notRun)
 	}
 	p.carryOut(host)
@@ -212,11 +212,11 @@
 	if !ok {
 		return
 	}
-	w.after(w.between(hostDelay, hostDelay+hostJitter), func() {
+	w.After(w.between(hostDelay, hostDelay+hostJitter), func() {
 		if w.hosts[to].dead || w.hosts[to].part != w.hosts[from].part {
 			return
 		}
-		p.desks[to].Receive(w.now, &m, &p.out)
+		p.desks[to].Receive(w.Now(), &m, &p.out)
 		p.carryOut(to)
 	})
 }
@@ -238,7 +238,7 @@
 			w.conclude(x.req, unknown)
 			return
 		}
-		p.desks[host].Done(w.now, g, failed, &p.out)
+		p.desks[host].Done(w.Now(), g, failed, &p.out)
 		p.carryOut(host)
 		x.done(o)
 	}
@@ -256,7 +256,7 @@
 	}
 	w.place(s, j)
 	if !p.fifo {
-		w.at(x.req.patient, func() {
+		w.At(x.req.patient, func() {
 			if !over {
 				w.cancel(s, j)
 				finish(false, unknown)
@@ -272,7 +272,7 @@
 	}
 	*over = true
 	d := p.desks[host]
-	d.Shed(p.w.now, g, &p.out)
+	d.Shed(p.w.Now(), g, &p.out)
 	p.carryOut(host)
 	x.tries++
 	if x.tries >= maxRepeats || !d.Retry() || !retry.May("POST", retry.NotRun) {
@@ -344,7 +344,7 @@
 		}
 	}
 	w.place(w.servers[i], j)
-	w.at(r.patient, func() {
+	w.At(r.patient, func() {
 		if !over {
 			over = true
 			w.conclude(r, unknown)
--- a/internal/exper/requests.go
+++ b/internal/exper/requests.go
@@ -147,8 +147,8 @@
 
 func newRequestWorld(seed uint64, p requestPlan, make func(w *requestWorld) policy) *requestWorld {
 	w := &requestWorld{sim: newSim(seed, 2), plan: p, ids: ids("host", p.hosts), index: map[uint64]*reqServer{}, runs: map[string]int{}}
-	w.now = time.Hour
-	w.start = w.now
+	w.Set(time.Hour)
+	w.start = w.Now()
 	w.result.short = hdrhistogram.New(1, 600_000, 3)
 	for i, id := range w.ids {
 		w.hosts = append(w.hosts, &reqHost{index: i, id: id})
@@ -182,17 +182,17 @@
 func (w *requestWorld) run() requestResult {
 	w.arrivals()
 	w.script()
-	w.until(w.start + w.plan.end)
+	w.Until(w.start + w.plan.end)
 	w.balance()
 	return w.result
 }
 
 func (w *requestWorld) arrivals() {
 	rate := w.plan.rate()
-	if t := w.now - w.start; w.plan.swing > 0 && t >= w.plan.swingFrom && t < w.plan.swingTo {
+	if t := w.Now() - w.start; w.plan.swing > 0 && t >= w.plan.swingFrom && t < w.plan.swingTo {
 		rate *= min(w.plan.swing, 1+(w.plan.swing-1)*(t-w.plan.swingFrom).Seconds()/3)
 	}
-	w.after(w.exp(time.Duration(float64(time.Second)/rate)), func() {
+	w.After(w.exp(time.Duration(float64(time.Second)/rate)), func() {
 		w.arrive()
 		w.arrivals()
 	})
@@ -202,7 +202,7 @@
 	p := w.plan
 	step := func(at time.Duration, f func()) {
 		if at > 0 {
-			w.at(w.start+at, f)
+			w.At(w.start+at, f)
 		}
 	}
 	step(p.crash, func() { w.crash(3) })
@@ -215,7 +215,7 @@
 // crash ends a host; the others learn of it later.
 func (w *requestWorld) crash(i int) {
 	w.hosts[i].dead = true
-	w.after(deathAfter, func() {
+	w.After(deathAfter, func() {
 		for _, h := range w.hosts {
 			markPeer(h, w.ids[i], true)
 		}
@@ -254,7 +254,7 @@
 			h.part = 1
 		}
 	}
-	w.after(deathAfter, func() {
+	w.After(deathAfter, func() {
 		for _, h := range w.hosts {
 			for _, o := range w.hosts {
 				if o.part != h.part {
@@ -279,8 +279,8 @@
 // arrive makes a request and hands it to any host.
 func (w *requestWorld) arrive() {
 	w.serial++
-	t := w.now - w.start
-	r := &request{serial: w.serial, kind: "GET /status", arrived: w.now, patient: w.now + w.plan.patience,
+	t := w.Now() - w.start
+	r := &request{serial: w.serial, kind: "GET /status", arrived: w.Now(), patient: w.Now() + w.plan.patience,
 		caller: rendez.Hash(fmt.Sprint("caller-", w.rng.IntN(callers))), size: w.exp(w.plan.short)}
 	atCrest := w.plan.swing > 0 && t >= w.plan.swingFrom && t < w.plan.swingTo+w.plan.patience
 	r.outside = t >= w.plan.warm && t < w.plan.end-w.plan.longPatience/3 && !atCrest
@@ -290,7 +290,7 @@
 		r.long = true
 		r.kind = "GET /export"
 		r.size = time.Duration(float64(r.size) * w.plan.longFactor)
-		r.patient = w.now + w.plan.longPatience
+		r.patient = w.Now() + w.plan.longPatience
 	case w.rng.Float64() < w.plan.keyed:
 		r.kind = "POST /registrations"
 		r.key = fmt.Sprint("key-", w.serial)
@@ -329,7 +329,7 @@
 	if r.done {
 		return
 	}
-	late := w.now > r.patient
+	late := w.Now() > r.patient
 	switch o {
 	case answered, failed:
 		w.concludeAnswer(r, o, late)
@@ -342,8 +342,8 @@
 		r.doubt = true
 		if r.key != "" && r.tries < maxRepeats {
 			r.tries++
-			r.patient = w.now + w.plan.patience
-			w.after(repeatAfter, func() { w.submit(r) })
+			r.patient = w.Now() + w.plan.patience
+			w.After(repeatAfter, func() { w.submit(r) })
 			return
 		}
 		w.result.unknown++
@@ -365,7 +365,7 @@
 		w.result.lost++
 	}
 	if r.steady && !r.long && r.tries == 0 {
-		_ = w.result.short.RecordValue((w.now - r.arrived).Microseconds() / 10)
+		_ = w.result.short.RecordValue((w.Now() - r.arrived).Microseconds() / 10)
 	}
 	if r.outside {
 		w.result.inTime++
@@ -374,10 +374,10 @@
 
 // place gives a job to a server.
 func (w *requestWorld) place(s *reqServer, j *job) {
-	w.after(jobDelay, func() {
+	w.After(jobDelay, func() {
 		switch {
 		case s.broken:
-			w.after(brokenTime, func() { j.ended(jobFailed) })
+			w.After(brokenTime, func() { j.ended(jobFailed) })
 		case s.busy < w.plan.slots:
 			w.startJob(s, j)
 		case w.policy.queues():
@@ -395,8 +395,8 @@
 		return
 	}
 	s.busy++
-	j.started = w.now
-	if w.now > j.req.patient {
+	j.started = w.Now()
+	if w.Now() > j.req.patient {
 		w.result.late++
 	}
 	if j.req.key != "" {
@@ -405,7 +405,7 @@
 			w.result.doubled++
 		}
 	}
-	w.after(j.req.size, func() { w.endJob(s, j, false) })
+	w.After(j.req.size, func() { w.endJob(s, j, false) })
 }
 
 // cancel ends a running job early, as a server that accepts cancellation does.
@@ -438,23 +438,23 @@
 	case j.req.key != "" && w.rng.Float64() < w.plan.loss:
 		j.ended(jobLost)
 	default:
-		w.after(jobDelay, func() { j.ended(jobAnswered) })
+		w.After(jobDelay, func() { j.ended(jobAnswered) })
 	}
 }
 
 // spend notes the slot time of a job, and how much of it was useful at the
 // crest.
 func (w *requestWorld) spend(s *reqServer, j *job, early bool) {
-	t := w.now - w.start
+	t := w.Now() - w.start
 	if t >= w.plan.warm && (w.plan.swing == 0 || t < w.plan.swingFrom) {
-		s.used += w.now - j.started
+		s.used += w.Now() - j.started
 	}
-	if w.plan.swing == 0 || early || w.now > j.req.patient {
+	if w.plan.swing == 0 || early || w.Now() > j.req.patient {
 		return
 	}
 	from := w.start + w.plan.swingFrom + time.Second
 	to := w.start + w.plan.swingTo
-	w.result.useful += max(0, min(w.now, to)-max(j.started, from))
+	w.result.useful += max(0, min(w.Now(), to)-max(j.started, from))
 	w.result.capacity = (to - from) * time.Duration(w.plan.servers*w.plan.slots)
 }
 
--- a/pkg/flow/net_test.go
+++ b/pkg/flow/net_test.go
@@ -1,24 +1,22 @@
 package flow
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"lagoonramp.org/lagoonramp/internal/vtime"
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 )
 
 // fakeNet runs tables of several hosts in virtual time over a network that
 // delays, reorders, loses and doubles messages between hosts.
 type fakeNet struct {
-	now    time.Duration
+	vtime.Clock
 	rng    *rand.Rand
 	hosts  map[uint64]*Table
 	frozen map[uint64]bool
-	queue  eventQueue
-	serial int
 	// loss and double are probabilities.
 	loss, double float64
 	// arrivals lists the servers that each flow's datagrams reached.
@@ -28,30 +26,6 @@
 	told     map[uint64]int
 }
 
-type netEvent struct {
-	at     time.Duration
-	serial int
-	run    func()
-}
-
-type eventQueue []netEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].serial < q[j].serial
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(netEvent)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 func newFakeNet(seed uint64) *fakeNet {
 	return &fakeNet{
 		rng:      rand.New(rand.NewPCG(seed, 1)),
@@ -64,23 +38,9 @@
 	}
 }
 
-func (n *fakeNet) after(d time.Duration, run func()) {
-	n.serial++
-	heap.Push(&n.queue, netEvent{n.now + d, n.serial, run})
-}
-
-func (n *fakeNet) until(end time.Duration) {
-	for len(n.queue) > 0 && n.queue[0].at <= end {
-		e := heap.Pop(&n.queue).(netEvent)
-		n.now = e.at
-		e.run()
-	}
-	n.now = end
-}
-
 func (n *fakeNet) add(id uint64, services map[uint64]*ServerSet, set Settings, loads Loads) *Table {
 	t := NewTable(set, loads)
-	t.SetServers(n.now, services)
+	t.SetServers(n.Now(), services)
 	n.hosts[id] = t
 	var tick func()
 	tick = func() {
@@ -88,11 +48,11 @@
 			return
 		}
 		if !n.frozen[id] {
-			n.act(id, t.Tick(n.now, nil))
+			n.act(id, t.Tick(n.Now(), nil))
 		}
-		n.after(30*time.Millisecond, tick)
+		n.After(30*time.Millisecond, tick)
 	}
-	n.after(30*time.Millisecond, tick)
+	n.After(30*time.Millisecond, tick)
 	return t
 }
 
@@ -102,7 +62,7 @@
 	if t == nil || n.frozen[host] {
 		return
 	}
-	n.act(host, t.Packet(n.now, key, hint, 0, []byte("x"), nil))
+	n.act(host, t.Packet(n.Now(), key, hint, 0, []byte("x"), nil))
 }
 
 func (n *fakeNet) act(host uint64, actions []Action) {
@@ -111,9 +71,9 @@
 		case ToServer:
 			n.arrivals[a.Key] = append(n.arrivals[a.Key], a.Server)
 			key := a.Key
-			n.after(time.Millisecond, func() {
+			n.After(time.Millisecond, func() {
 				if t := n.hosts[host]; t != nil {
-					t.Reply(n.now, key)
+					t.Reply(n.Now(), key)
 				}
 			})
 		case ToHost:
@@ -140,13 +100,13 @@
 			continue
 		}
 		delay := 200*time.Microsecond + time.Duration(n.rng.IntN(1500))*time.Microsecond
-		n.after(delay, func() {
+		n.After(delay, func() {
 			t := n.hosts[m.To]
 			if t == nil || n.frozen[m.To] {
 				return
 			}
 			c := m
-			n.act(m.To, t.Message(n.now, &c, nil))
+			n.act(m.To, t.Message(n.Now(), &c, nil))
 		})
 	}
 }
@@ -155,7 +115,7 @@
 	for _, h := range hosts {
 		w := v
 		w.Self = h
-		n.hosts[h].SetView(n.now, &w)
+		n.hosts[h].SetView(n.Now(), &w)
 	}
 }
 
--- a/pkg/flow/table_test.go
+++ b/pkg/flow/table_test.go
@@ -20,14 +20,14 @@
 		k := key(i)
 		var next func()
 		next = func() {
-			if n.now > end {
+			if n.Now() > end {
 				return
 			}
 			hosts := via()
 			n.packet(hosts[n.rng.IntN(len(hosts))], k, HintNone)
-			n.after(gap/2+time.Duration(n.rng.Int64N(int64(gap))), next)
+			n.After(gap/2+time.Duration(n.rng.Int64N(int64(gap))), next)
 		}
-		n.after(time.Duration(n.rng.Int64N(int64(gap))), next)
+		n.After(time.Duration(n.rng.Int64N(int64(gap))), next)
 	}
 }
 
@@ -47,7 +47,7 @@
 }
 
 // aged puts every view so far back in time that tables take it as settled.
-func (n *fakeNet) aged() { n.now = 1000 * second }
+func (n *fakeNet) aged() { n.Set(1000 * second) }
 
 func TestPlannedChangesBreakNothing(t *testing.T) {
 	steps := []struct {
@@ -57,36 +57,36 @@
 	}{
 		{"join seen at different times", 0, 0.02, func(n *fakeNet, h []uint64) {
 			v := View{Active: sortedIDs(h[:4]...)}
-			n.after(second, func() { n.show(v, h[3], h[0]) })
-			n.after(3*second, func() { n.show(v, h[1]) })
-			n.after(5*second, func() { n.show(v, h[2]) })
+			n.After(second, func() { n.show(v, h[3], h[0]) })
+			n.After(3*second, func() { n.show(v, h[1]) })
+			n.After(5*second, func() { n.show(v, h[2]) })
 		}},
 		{"leave", 0, 0.02, func(n *fakeNet, h []uint64) {
 			v := View{Active: sortedIDs(h[0], h[2]), Leaving: []uint64{h[1]}}
-			n.after(second, func() { n.show(v, h[1], h[0]) })
-			n.after(3*second, func() { n.show(v, h[2]) })
+			n.After(second, func() { n.show(v, h[1], h[0]) })
+			n.After(3*second, func() { n.show(v, h[2]) })
 		}},
 		{"join during a leave", 0, 0.05, func(n *fakeNet, h []uint64) {
 			leave := View{Active: sortedIDs(h[0], h[2]), Leaving: []uint64{h[1]}}
 			both := View{Active: sortedIDs(h[0], h[2], h[3]), Leaving: []uint64{h[1]}}
-			n.after(second, func() { n.show(leave, h[1], h[0]) })
-			n.after(2*second, func() { n.show(both, h[3]) })
-			n.after(3*second, func() { n.show(both, h[0], h[1]) })
-			n.after(4*second, func() { n.show(both, h[2]) })
+			n.After(second, func() { n.show(leave, h[1], h[0]) })
+			n.After(2*second, func() { n.show(both, h[3]) })
+			n.After(3*second, func() { n.show(both, h[0], h[1]) })
+			n.After(4*second, func() { n.show(both, h[2]) })
 		}},
 		{"server drains during a leave", 0, 0, func(n *fakeNet, h []uint64) {
 			s := names("server", 14)
 			v := View{Active: sortedIDs(h[0], h[2]), Leaving: []uint64{h[1]}}
-			n.after(second, func() {
+			n.After(second, func() {
 				for i, id := range h[:3] {
-					n.after(time.Duration(i)*second, func() { n.hosts[id].SetServers(n.now, serverSets(s[1:], s[0])) })
+					n.After(time.Duration(i)*second, func() { n.hosts[id].SetServers(n.Now(), serverSets(s[1:], s[0])) })
 				}
 			})
-			n.after(2*second, func() { n.show(v, h[:3]...) })
+			n.After(2*second, func() { n.show(v, h[:3]...) })
 		}},
 		{"join with loss", 0.05, 0.02, func(n *fakeNet, h []uint64) {
 			v := View{Active: sortedIDs(h[:4]...)}
-			n.after(second, func() { n.show(v, h[:4]...) })
+			n.After(second, func() { n.show(v, h[:4]...) })
 		}},
 	}
 	for _, s := range steps {
@@ -106,11 +106,11 @@
 			old := View{Active: sortedIDs(h[:3]...)}
 			n.show(old, h[:3]...)
 			n.show(View{Active: sortedIDs(h[:4]...)}, h[3])
-			start := n.now
+			start := n.Now()
 			n.traffic(600, 400*time.Millisecond, start+15*second, func() []uint64 { return h[:3] })
-			n.until(start + 5*second)
+			n.Until(start + 5*second)
 			s.run(n, h)
-			n.until(start + 20*second)
+			n.Until(start + 20*second)
 			is.Equal(len(n.arrivals), 600)
 			is.Equal(n.broken(), 0)
 		})
@@ -130,16 +130,16 @@
 		n.add(id, serverSets(servers), Settings{}, loads)
 	}
 	n.show(View{Active: sortedIDs(h...)}, h...)
-	start := n.now
+	start := n.Now()
 	alive := h
 	n.traffic(4000, 800*time.Millisecond, start+20*second, func() []uint64 { return alive })
-	n.until(start + 10*second)
+	n.Until(start + 10*second)
 	owned := n.hosts[h[2]].Held()
 	delete(n.hosts, h[2])
 	alive = slices.Concat(h[:2], h[3:])
-	n.until(start + 12*second)
+	n.Until(start + 12*second)
 	n.show(View{Active: sortedIDs(alive...), Lost: []uint64{h[2]}}, alive...)
-	n.until(start + 25*second)
+	n.Until(start + 25*second)
 	is.True(owned > 300)
 	is.True(n.broken()*100 < owned) // Under 1% of the lost host's flows.
 }
@@ -153,16 +153,16 @@
 		n.add(id, serverSets(names("server", 14)), Settings{}, nil)
 	}
 	n.show(View{Active: sortedIDs(h...)}, h...)
-	start := n.now
+	start := n.Now()
 	n.traffic(300, 300*time.Millisecond, start+20*second, func() []uint64 { return h })
-	n.until(start + 5*second)
+	n.Until(start + 5*second)
 	n.frozen[h[0]] = true
-	n.until(start + 8*second)
+	n.Until(start + 8*second)
 	n.show(View{Active: sortedIDs(h[1:]...), Lost: h[:1]}, h[1:]...)
-	n.until(start + 12*second)
+	n.Until(start + 12*second)
 	n.frozen[h[0]] = false
 	n.show(View{Active: sortedIDs(h...)}, h...)
-	n.until(start + 25*second)
+	n.Until(start + 25*second)
 	is.Equal(n.broken(), 0) // Without exceptions, the first candidate is found again.
 }
 
