--- /dev/null
+++ b/pkg/memb/fuzz_test.go
@@ -0,0 +1,43 @@
+package memb
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// FuzzReceive feeds a machine with messages that any host could send. It must
+// neither panic nor grow without bound, and must not be talked into believing
+// that it is dead itself.
+func FuzzReceive(f *testing.F) {
+	for _, m := range []Message{
+		{Kind: Ping, From: Member{Name: "b", Address: "b", Incarnation: 3, Health: Alive}, Sequence: 1},
+		{Kind: Sync, From: Member{Name: "b", Address: "b"}, News: []Member{{Name: "a", Health: Dead, Incarnation: 9}}, Reply: true},
+		{Kind: Sync, From: Member{Name: "b", Address: "b"}, News: []Member{{Name: "a", Health: Dead, Incarnation: 1<<64 - 1}}},
+		{Kind: PingRequest, From: Member{Name: "b", Address: "b"}, Target: "c"},
+	} {
+		data, err := json.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m Message
+		if json.Unmarshal(data, &m) != nil {
+			return
+		}
+		a := New(Member{Name: "a", Address: "a", Incarnation: 1}, Settings{}, rand.New(rand.NewPCG(1, 1)))
+		for i := range 3 {
+			a.Receive(time.Duration(i)*time.Second, &m)
+			a.Tick(time.Duration(i)*time.Second + time.Millisecond)
+		}
+		if a.Self().Incarnation == 0 || a.Self().Health != Alive {
+			t.Fatal("the host believes that it is not alive")
+		}
+		if len(a.Members()) > len(m.News)+1 {
+			t.Fatal("members came from nowhere")
+		}
+	})
+}
--- a/pkg/memb/list.go
+++ b/pkg/memb/list.go
@@ -118,11 +118,11 @@
 
 // learn merges news of one member.
 func (m *Machine) learn(now time.Duration, news *Member) {
-	if news.Name == m.self.Name {
+	if news.Name == m.self.Name && news.Incarnation <= maxIncarnation {
 		m.refute(news)
 		return
 	}
-	if news.Health == Seeded || news.Health > Left || news.Name == "" {
+	if news.Incarnation > maxIncarnation || news.Health == Seeded || news.Health > Left || news.Name == "" {
 		return
 	}
 	r := m.members[news.Name]
--- a/pkg/memb/settings.go
+++ b/pkg/memb/settings.go
@@ -70,4 +70,7 @@
 	wakeFactor = 3
 	// revisitEvery is how often a dead or seeded member is pinged.
 	revisitEvery = 2 * time.Second
+	// maxIncarnation bounds what is believed, so that nobody can make an
+	// incarnation that cannot be exceeded.
+	maxIncarnation = 1 << 62
 )
