Tell exceptions twice

A test with every other message lost shows it. Change: what was told is told once more a second later. Before: the test fails.

--- a/pkg/flow/recall.go
+++ b/pkg/flow/recall.go
@@ -41,6 +41,9 @@
 	// to be looked at again.
 	since  time.Duration
 	cursor int
+	// again holds what was told in the last period. It is told once more,
+	// since one lost datagram may hold all exceptions of a change.
+	again []Message
 }
 
 func newTeller() teller {
@@ -98,6 +101,11 @@
 	}
 	t.teller.nextAt = now + tellEvery
 	budget := t.set.TellBytes
+	for _, m := range t.teller.again {
+		out = append(out, Action{Kind: ToHost, Message: m})
+		budget -= len(m.Payload)
+	}
+	t.teller.again = t.teller.again[:0]
 	queued := 0
 	for _, q := range t.teller.queue {
 		queued += len(q)
@@ -114,6 +122,7 @@
 			q = q[n:]
 			m := Message{Kind: Tell, From: t.view.Self, To: to, Payload: body}
 			out = append(out, Action{Kind: ToHost, Message: m})
+			t.teller.again = append(t.teller.again, m)
 		}
 		t.teller.queue[to] = q
 		if len(q) == 0 || !t.view.Knows(to) {
--- a/pkg/flow/table_test.go
+++ b/pkg/flow/table_test.go
@@ -333,3 +333,45 @@
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
 	}
 }
+
+// TestLostTellIsToldAgain loses every other message of a host that tells its
+// exceptions after a server began to drain.
+func TestLostTellIsToldAgain(t *testing.T) {
+	is := is.New(t)
+	h := names("host", 2)
+	servers := names("server", 4)
+	tab, heir := NewTable(Settings{}, nil), NewTable(Settings{}, nil)
+	for i, x := range []*Table{tab, heir} {
+		x.SetServers(0, serverSets(servers))
+		x.SetView(0, &View{Self: h[i], Active: sortedIDs(h...)})
+	}
+	now := 1000 * second
+	drained := map[Key]bool{}
+	for i := range 400 {
+		tab.Packet(now, key(i), HintNone, 0, nil, nil)
+		if s, ok := tab.Server(key(i)); ok && s == servers[0] {
+			drained[key(i)] = true
+		}
+	}
+	now += second
+	for _, x := range []*Table{tab, heir} {
+		x.SetServers(now, serverSets(servers[1:], servers[0]))
+	}
+	lose := false
+	for range 5 {
+		now += second
+		for _, a := range tab.Tick(now, nil) {
+			if a.Kind != ToHost || a.Message.Kind != Tell {
+				continue
+			}
+			lose = !lose
+			if !lose {
+				heir.Message(now, &a.Message, nil)
+			}
+		}
+	}
+	is.True(len(drained) > 20)
+	for k := range drained {
+		is.Equal(heir.recalled(k), servers[0])
+	}
+}
