Take the second candidate only beyond chance

With few flows a server, loads differ by chance, a quarter of the flows were exceptions, and those opened in the last second were not told yet. Change: the first candidate is kept unless the loads differ by more than twice the square root. The flow tests' random loads are a thousand times as large, so that they still choose at random; both mutations (no asks, no heard exceptions) fail as before.

--- a/pkg/flow/server.go
+++ b/pkg/flow/server.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/rendez"
@@ -63,9 +64,12 @@
 	return false
 }
 
+// loadSlack times the square root of a load is how far loads differ by chance.
+const loadSlack = 2
+
 // choose returns the candidate to take by load. The first candidate is kept
-// unless its load exceeds the second's by the margin, since every second
-// choice has to be told to the successor.
+// unless its load exceeds the second's by the margin and by more than chance
+// explains, since every second choice has to be told to the successor.
 func choose(first, second uint64, l Loads, margin float64) uint64 {
 	if second == 0 || l == nil {
 		return first
@@ -77,7 +81,7 @@
 		return first
 	case a < 0:
 		return second
-	case a > b*(1+margin)+margin:
+	case a > b*(1+margin)+loadSlack*math.Sqrt(b+1):
 		return second
 	}
 	return first
--- a/pkg/flow/table_test.go
+++ b/pkg/flow/table_test.go
@@ -98,7 +98,7 @@
 			n.aged()
 			// Random loads make hosts choose differently, so that a flow that is
 			// opened twice is seen.
-			loads := LoadFunc(func(uint64) float64 { return n.rng.Float64() })
+			loads := LoadFunc(func(uint64) float64 { return 1000 * n.rng.Float64() })
 			for _, id := range h {
 				n.add(id, serverSets(names("server", 14)), Settings{SilentAfter: -1}, loads)
 			}
@@ -125,7 +125,7 @@
 	n.aged()
 	// Loads are random, so that many flows are exceptions.
 	rng := rand.New(rand.NewPCG(3, 3))
-	loads := LoadFunc(func(uint64) float64 { return rng.Float64() })
+	loads := LoadFunc(func(uint64) float64 { return 1000 * rng.Float64() })
 	for _, id := range h {
 		n.add(id, serverSets(servers), Settings{}, loads)
 	}
