Write the document in force back to a platform that went back

Cause: the alarm had no remedy but the platform's own backup. Change: conf.Republish and lagoonramp config republish, for tokens that may write every section; it refuses if the platform is not behind, and a lost answer is settled by its id. Measured: test with a lost answer; the alarm ends and edits go on.

--- a/.ci/byhand.sh
+++ b/.ci/byhand.sh
@@ -60,6 +60,8 @@
 shows 'teams.a.services\[0\].protocol'
 expect 2 "$ramp" serve --settings docs/examples/entry.json
 shows "unknown field"
+expect 1 "$ramp" config republish --host $host
+shows "is not behind"
 expect 0 "$ramp" version
 curl -fs "http://$host/metrics" | grep -q lagoonramp_requests_total || fail "no metrics"
 curl -fs "http://$host/" | grep -q screen.js || fail "no screen"
--- a/cmd/lagoonramp/config.go
+++ b/cmd/lagoonramp/config.go
@@ -31,6 +31,10 @@
 			{Name: "diff", Usage: "show what FILE would change in a team's section", ArgsUsage: "FILE", Flags: clientFlags(team), Action: configDiff},
 			{Name: "check", Usage: "check a whole document in FILE, offline", ArgsUsage: "FILE", Action: configCheck},
 			{Name: "history", Usage: "list the latest edits", Flags: clientFlags(), Action: configHistory},
+			{Name: "republish", Usage: "write the document in force back to a platform that went back in time", Action: configRepublish, Flags: clientFlags(
+				&cli.StringFlag{Name: "id", Usage: "the `ID` of an earlier try whose answer was lost"},
+				&cli.StringFlag{Name: "who", Usage: "who does it"},
+			)},
 			{Name: "revert", Usage: "put a section back as it was at a revision, as a new revision", Action: configRevert, Flags: clientFlags(
 				team,
 				&cli.Uint64Flag{Name: "to", Required: true, Usage: "the `REVISION` of the edit to go back to"},
@@ -159,12 +163,34 @@
 	return putSection(ctx, c, cl, team, s, base)
 }
 
+// editID returns the identifier of an edit: the one given, or a new one.
+func editID(c *cli.Command) string {
+	if id := c.String("id"); id != "" {
+		return id
+	}
+	return rand.Text()
+}
+
+func configRepublish(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	id := editID(c)
+	var out wire.PutAnswer
+	if _, err := cl.call(ctx, http.MethodPost, "/api/republish", wire.PutRequest{Who: whoEdits(c), ID: id}, &out); err != nil {
+		return fmt.Errorf("%w; whether it took effect is not known: repeat it with --id %s", err, id)
+	}
+	if out.Commit == nil {
+		return cli.Exit(fmt.Sprintf("%s; a repeat needs --id %s", out.Error, id), exitFailed)
+	}
+	fmt.Printf("written back as revision %d\n", out.Commit.Revision)
+	return nil
+}
+
 // putSection commits a section and prints what became of it.
 func putSection(ctx context.Context, c *cli.Command, cl *client, team string, s conf.Section, base uint64) error {
-	id := c.String("id")
-	if id == "" {
-		id = rand.Text()
-	}
+	id := editID(c)
 	var out wire.PutAnswer
 	_, err := cl.call(ctx, http.MethodPut, "/api/config/"+team, wire.PutRequest{Section: s, Base: base, Who: whoEdits(c), ID: id}, &out)
 	if err != nil {
--- a/internal/host/edit.go
+++ b/internal/host/edit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,6 +19,32 @@
 	h.log.Info("conf: an edit was accepted", zap.Uint64("revision", c.Revision), zap.String("team", c.Team), zap.String("who", c.Who))
 }
 
+// serveRepublish writes the document in force back to a platform that went
+// back in time. It needs a token that may write every section.
+func (h *Host) serveRepublish(w http.ResponseWriter, r *http.Request) {
+	if !h.allowed(r, "*") {
+		writeJSON(w, http.StatusForbidden, wire.PutAnswer{Kind: "denied", Error: "the token may not write every section"})
+		return
+	}
+	var in wire.PutRequest
+	if !decodeBody(w, r, &in) {
+		return
+	}
+	a := h.routes.Load().adopted
+	if a == nil || in.ID == "" {
+		writeJSON(w, http.StatusConflict, wire.PutAnswer{Kind: "check", Error: "no configuration is in force, or id is empty"})
+		return
+	}
+	commit, err := conf.Republish(r.Context(), h.store, a, in.Who, in.ID, time.Now().UTC())
+	if err != nil {
+		h.refusedEdit(w, "*", in.Who, err)
+		return
+	}
+	h.acceptedEdit(commit)
+	go h.readHead()
+	writeJSON(w, http.StatusOK, wire.PutAnswer{Commit: &commit})
+}
+
 // readHead takes the head from the platform at once, after an edit here.
 func (h *Host) readHead() {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -48,7 +48,7 @@
 	platform := httptest.NewServer(p)
 	s := &setup.Settings{Name: name, DataCentre: "sapporo", Peer: free(t), Admin: free(t),
 		Ingress: setup.Ingress{TCP: free(t)}, Platform: platform.URL, Keys: []setup.Key{{ID: 1, Secret: secret}},
-		Tokens: map[string]string{"entry": hashOf("entry-token"), "press": hashOf("press-token")}}
+		Tokens: map[string]string{"entry": hashOf("entry-token"), "press": hashOf("press-token"), "*": hashOf("admin-token")}}
 	if change != nil {
 		change(s)
 	}
@@ -235,6 +235,20 @@
 	status, answer := put(t, h, "entry", "entry-token", wire.PutRequest{Section: entrySection("127.0.0.1:4"), Base: 2, ID: "3"})
 	is.Equal(status, 409)
 	is.Equal(answer.Kind, "behind")
+	body, err := json.Marshal(wire.PutRequest{ID: "back"})
+	is.NoErr(err)
+	republish := func(token string) int {
+		req, err := http.NewRequest("POST", "http://"+h.set.Admin+"/api/republish", bytes.NewReader(body))
+		is.NoErr(err)
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	is.Equal(republish("entry-token"), 403) // One team may not do it.
+	is.Equal(republish("admin-token"), 200)
+	eventually(t, "the alarm is over", func() bool { return h.Status().Alarm == "" && h.Status().Revision == 3 })
 }
 
 func TestAddressThatMovesIsQuarantined(t *testing.T) {
--- a/internal/host/web.go
+++ b/internal/host/web.go
@@ -78,6 +78,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/config", h.serveConfig)
 	mux.HandleFunc("PUT /api/config/{team}", h.servePut)
+	mux.HandleFunc("POST /api/republish", h.serveRepublish)
 	mux.HandleFunc("GET /api/section/{digest}", h.serveSection)
 	mux.HandleFunc("GET /api/status", h.serveStatus)
 	mux.HandleFunc("GET /api/events", h.serveEvents)
--- a/pkg/conf/commit_test.go
+++ b/pkg/conf/commit_test.go
@@ -115,6 +115,42 @@
 	is.Equal(h.Revision, uint64(1))
 }
 
+func TestRepublishAfterThePlatformWentBack(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	p, kv := newStore(t)
+	c := &conf.Committer{KV: kv}
+	_, err := c.Put(ctx, edit("desk", "a", 0, section(80, conf.Active)))
+	is.NoErr(err)
+	restore := p.Snapshot()
+	_, err = c.Put(ctx, edit("desk", "b", 1, section(80, conf.Draining)))
+	is.NoErr(err)
+	head, _, err := conf.ReadHead(ctx, kv)
+	is.NoErr(err)
+	body := conf.Encode(section(80, conf.Draining))
+	var a conf.Adopter
+	_, _, err = a.Offer(head, map[string][]byte{conf.Digest(body): body}, conf.FromPlatform)
+	is.NoErr(err)
+	_, err = conf.Republish(ctx, kv, a.InForce(), "ops", "r", time.Unix(0, 0))
+	is.True(err != nil) // It is not behind.
+	restore()
+	p.SetFaults(fakes.PlatformFaults{LoseAnswers: 1})
+	got, err := conf.Republish(ctx, kv, a.InForce(), "ops", "r", time.Unix(0, 0))
+	if err != nil {
+		got, err = conf.Republish(ctx, kv, a.InForce(), "ops", "r", time.Unix(0, 0))
+	}
+	is.NoErr(err)
+	is.Equal(got.Revision, uint64(3))
+	now, _, err := conf.ReadHead(ctx, kv)
+	is.NoErr(err)
+	d, err := conf.ReadDocument(ctx, kv, now)
+	is.NoErr(err)
+	is.Equal(d.Teams["desk"].Services[0].Servers[0].State, conf.Draining)
+	last, err := c.Put(ctx, edit("desk", "c", 2, section(80, conf.Leaving)))
+	is.NoErr(err) // Edits go on from there.
+	is.Equal(last.Revision, uint64(4))
+}
+
 // swapInput and swapOutput describe one edit in a recorded history.
 type swapInput struct {
 	read bool
