Test plain datagrams straight from a caller

Cause: the direct mode had no test. Change: two planes, one listens on the service's address, the other holds the flow; the answer comes from the address that was spoken to.

--- a/internal/dgram/plane_test.go
+++ b/internal/dgram/plane_test.go
@@ -241,3 +241,57 @@
 		_, _ = out.WriteToUDPAddrPort(b[:n], server)
 	}
 }
+
+// pair runs two planes that know each other: the first listens on the
+// service's own address, the second owns all flows.
+func pair(t *testing.T, server netip.AddrPort) (address netip.AddrPort, owner *Plane) {
+	t.Helper()
+	probe := socket(t)
+	address = addressOf(probe)
+	_ = probe.Close()
+	conns := []*net.UDPConn{socket(t), socket(t)}
+	peers := map[uint64]netip.AddrPort{1: addressOf(conns[0]), 2: addressOf(conns[1])}
+	var planes []*Plane
+	for i := range 2 {
+		self := uint64(i + 1)
+		p := NewPlane(Settings{Self: self, Start: 1, Keys: []peer.Key{{ID: 1, Secret: []byte("k")}}, Workers: 2, Flows: 100,
+			Ports: 8, Peer: conns[i], Direct: i == 0, ServerBind: netip.MustParseAddr("127.0.0.1"),
+			Control: func(peer.Header, []byte) {}, Events: event.NewRing("h", "dc")})
+		s := &Service{ID: 9, Name: "press", Address: address, Servers: map[uint64]*Server{
+			100: {ID: 100, Name: "s", Address: server, Limit: 50, Weight: 1, Flows: &atomic.Int64{}}}}
+		err := p.SetTables(&Tables{View: &flow.View{Self: self, Active: []uint64{2}}, Services: map[uint64]*Service{9: s},
+			ByAddress: map[netip.AddrPort]*Service{address: s}, Sets: map[uint64]*flow.ServerSet{9: {IDs: []uint64{100}}}, Peers: peers})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			p.Run(ctx)
+			close(done)
+		}()
+		t.Cleanup(func() { cancel(); <-done })
+		planes = append(planes, p)
+	}
+	return address, planes[1]
+}
+
+func TestPlainDatagramIsAnsweredFromTheAddressItWasSentTo(t *testing.T) {
+	is := is.New(t)
+	server := socket(t)
+	go echo(server)
+	address, owner := pair(t, addressOf(server))
+	client := socket(t)
+	for i := range 5 {
+		body := fmt.Sprint("plain ", i)
+		_, err := client.WriteToUDPAddrPort([]byte(body), address)
+		is.NoErr(err)
+		b := make([]byte, 100)
+		is.NoErr(client.SetReadDeadline(time.Now().Add(10 * time.Second)))
+		n, from, err := client.ReadFromUDPAddrPort(b)
+		is.NoErr(err)
+		is.Equal(string(b[:n]), body)
+		is.Equal(from, address)
+	}
+	is.Equal(owner.Counters().Opened.Load(), uint64(1)) // The other host holds the flow.
+}
