--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -315,7 +315,7 @@
 			r.LostRegistrations++
 		}
 		if runs > 1 {
-			r.DoubledRegistration++
+			r.DoubledRegistrations++
 		}
 	})
 }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -8,14 +8,14 @@
 
 // Report is the result of a run.
 type Report struct {
-	BrokenFlowsPlanned  int `json:"brokenFlowsPlanned"`
-	BrokenFlowsCrash    int `json:"brokenFlowsCrash"`
-	CrossService        int `json:"crossService"`
-	WrongAnswers        int `json:"wrongAnswers"`
-	LostRegistrations   int `json:"lostRegistrations"`
-	DoubledRegistration int `json:"doubledRegistrations"`
-	RanThoughNotRun     int `json:"ranThoughNotRun"`
-	NewAfterDrain       int `json:"newAfterDrain"`
+	BrokenFlowsPlanned   int `json:"brokenFlowsPlanned"`
+	BrokenFlowsCrash     int `json:"brokenFlowsCrash"`
+	CrossService         int `json:"crossService"`
+	WrongAnswers         int `json:"wrongAnswers"`
+	LostRegistrations    int `json:"lostRegistrations"`
+	DoubledRegistrations int `json:"doubledRegistrations"`
+	RanThoughNotRun      int `json:"ranThoughNotRun"`
+	NewAfterDrain        int `json:"newAfterDrain"`
 	// Imbalance is the highest slot time of an entry-desk server over the mean.
 	Imbalance      float64 `json:"imbalance"`
 	ShortP50Ms     float64 `json:"shortP50Ms"`
@@ -51,7 +51,7 @@
 		{"packets that crossed services", r.CrossService},
 		{"answers to another request", r.WrongAnswers},
 		{"lost registrations", r.LostRegistrations},
-		{"doubled registrations", r.DoubledRegistration},
+		{"doubled registrations", r.DoubledRegistrations},
 		{"requests that ran though told not run", r.RanThoughNotRun},
 		{"new flows at a server that drains", r.NewAfterDrain},
 	} {
@@ -86,7 +86,7 @@
 	for why, n := range r.Doubts {
 		row("", fmt.Sprintf("%d unknown: %s", n, why))
 	}
-	row("registrations lost / doubled", fmt.Sprintf("%d / %d of %d", r.LostRegistrations, r.DoubledRegistration, r.Registrations))
+	row("registrations lost / doubled", fmt.Sprintf("%d / %d of %d", r.LostRegistrations, r.DoubledRegistrations, r.Registrations))
 	row("ran though told not run", r.RanThoughNotRun)
 	row("new flows at the draining server", r.NewAfterDrain)
 	row("imbalance (max over mean)", fmt.Sprintf("%.2f", r.Imbalance))
