Let one address be used once with each transport

It would refuse QUIC and HTTPS on port 443 of a server too. Change: addresses of services and servers are unique with their transport; quarantine and moved addresses are kept for each transport. Conclusion: a datagram cannot reach a connection's socket, so nothing crosses.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,10 +102,9 @@
 	seen map[string]time.Time
 	// lost holds when members died.
 	lost map[string]time.Time
-	// quarantine holds until when a server address rests, by service and
-	// address.
+	// quarantine holds until when a server address rests, by AddressKey.
 	quarantine map[string]time.Time
-	// owners holds which service had each server address last.
+	// owners holds which service had each server address last, by AddressKey.
 	owners    map[string]owner
 	ramps     map[uint64]*rampState
 	rebuildAt time.Time
--- a/internal/host/routes.go
+++ b/internal/host/routes.go
@@ -42,7 +42,7 @@
 	byID map[uint64]*front.Service
 	// loads holds the flows at each server of udp services, by ID.
 	loads map[uint64]*atomic.Int64
-	// resting lists the server addresses under quarantine.
+	// resting lists the server addresses under quarantine, by AddressKey.
 	resting map[string]bool
 }
 
@@ -81,7 +81,7 @@
 	now := time.Now()
 	if old := h.routes.Load().adopted; old != nil {
 		old.Document.EachServer(func(s *conf.Service, v *conf.Server) {
-			c.owners[v.Address] = owner{service: s.Name, until: now.Add(quarantineTime)}
+			c.owners[s.AddressKey(v.Address)] = owner{service: s.Name, until: now.Add(quarantineTime)}
 		})
 	}
 	for a, o := range c.owners {
@@ -90,11 +90,11 @@
 		}
 	}
 	c.adopter.InForce().Document.EachServer(func(s *conf.Service, v *conf.Server) {
-		was, ok := c.owners[v.Address]
+		was, ok := c.owners[s.AddressKey(v.Address)]
 		if !ok || was.service == s.Name {
 			return
 		}
-		c.quarantine[v.Address] = now.Add(quarantineTime)
+		c.quarantine[s.AddressKey(v.Address)] = now.Add(quarantineTime)
 		h.events.Add(event.Event{Kind: event.Quarantined, Service: s.Name, Server: v.Name,
 			Cause: "the address belonged to " + was.service})
 	})
@@ -102,14 +102,16 @@
 
 // builder makes routes and tables from what is in force.
 type builder struct {
-	host    *Host
-	old     *routes
-	next    *routes
-	tables  *dgram.Tables
-	accept  map[netip.AddrPort]relay.Acceptor
-	hosts   []uint64
-	first   bool
-	ramping bool
+	host   *Host
+	old    *routes
+	next   *routes
+	tables *dgram.Tables
+	accept map[netip.AddrPort]relay.Acceptor
+	hosts  []uint64
+	// movedTCP is to connections what Tables.Moved is to datagrams.
+	movedTCP map[netip.AddrPort]string
+	first    bool
+	ramping  bool
 }
 
 // applyRoutes rebuilds what the traffic uses. It is called from the control
@@ -125,7 +127,8 @@
 		tables: &dgram.Tables{View: v.flow, Peers: v.peers, Services: map[uint64]*dgram.Service{},
 			ByAddress: map[netip.AddrPort]*dgram.Service{}, Sets: map[uint64]*flow.ServerSet{},
 			Moved: map[netip.AddrPort]string{}},
-		accept: map[netip.AddrPort]relay.Acceptor{},
+		accept:   map[netip.AddrPort]relay.Acceptor{},
+		movedTCP: map[netip.AddrPort]string{},
 	}
 	b.first = b.old.adopted == nil
 	if a != nil {
@@ -145,10 +148,10 @@
 		h.listenFailed(err)
 	}
 	for name, s := range b.next.tcp {
-		s.EndMoved(name, b.tables.Moved)
+		s.EndMoved(name, b.movedTCP)
 	}
 	for name, s := range b.old.tcp {
-		s.EndMoved(name, b.tables.Moved)
+		s.EndMoved(name, b.movedTCP)
 	}
 	b.retire()
 	if b.ramping || len(b.next.resting) > 0 {
@@ -192,14 +195,19 @@
 }
 
 // takesNew reports whether a server takes new work, and notes a quarantine.
-func (b *builder) takesNew(service string, v *conf.Server) bool {
-	until, ok := b.host.control.quarantine[v.Address]
+func (b *builder) takesNew(s *conf.Service, v *conf.Server) bool {
+	key := s.AddressKey(v.Address)
+	until, ok := b.host.control.quarantine[key]
 	if ok && time.Now().Before(until) {
-		b.next.resting[v.Address] = true
-		b.tables.Moved[v.AddrPort()] = service
+		b.next.resting[key] = true
+		moved := b.movedTCP
+		if s.Protocol == conf.UDP {
+			moved = b.tables.Moved
+		}
+		moved[v.AddrPort()] = s.Name
 		return false
 	}
-	delete(b.host.control.quarantine, v.Address)
+	delete(b.host.control.quarantine, key)
 	return v.State.TakesNew()
 }
 
@@ -242,7 +250,7 @@
 		b.next.loads[id] = n
 		svc.Servers[id] = &dgram.Server{ID: id, Name: v.Name, Address: v.AddrPort(),
 			Limit: b.share(v.Connections), Weight: b.weight(id), Flows: n}
-		if b.takesNew(s.Name, v) {
+		if b.takesNew(s, v) {
 			set.IDs = append(set.IDs, id)
 		} else {
 			set.Holding = append(set.Holding, id)
@@ -258,7 +266,7 @@
 	for i := range servers {
 		v := &servers[i]
 		t.Servers = append(t.Servers, relay.Server{ID: serverID(s.Name, v.Name), Name: v.Name, Address: v.Address,
-			Limit: b.share(v.Connections), TakesNew: b.takesNew(s.Name, v)})
+			Limit: b.share(v.Connections), TakesNew: b.takesNew(s, v)})
 	}
 	svc := b.old.tcp[s.Name]
 	if svc == nil {
@@ -278,7 +286,7 @@
 	for i := range servers {
 		v := &servers[i]
 		t.Servers = append(t.Servers, front.Server{ID: serverID(s.Name, v.Name), Name: v.Name, Address: v.Address,
-			Slots: v.Slots, TakesNew: b.takesNew(s.Name, v)})
+			Slots: v.Slots, TakesNew: b.takesNew(s, v)})
 	}
 	svc := b.old.http[s.Name]
 	if svc == nil {
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -100,7 +100,7 @@
 	}
 	for _, v := range s.Servers {
 		out.Servers = append(out.Servers, wire.ServerStatus{Name: v.Name, State: v.State,
-			Load: load(serverID(s.Name, v.Name)), Slots: v.Slots, Connections: v.Connections, Quarantined: r.resting[v.Address]})
+			Load: load(serverID(s.Name, v.Name)), Slots: v.Slots, Connections: v.Connections, Quarantined: r.resting[s.AddressKey(v.Address)]})
 	}
 	return out
 }
--- a/pkg/conf/check.go
+++ b/pkg/conf/check.go
@@ -137,10 +137,10 @@
 		c.fault(field+".name", "%q collides with %q; choose another name", s.Name, other)
 	}
 	c.hashes[rendez.Hash(s.Name)] = s.Name
-	if other, ok := c.addresses[s.Address]; ok {
+	if other, ok := c.addresses[s.AddressKey(s.Address)]; ok {
 		c.fault(field+".address", "%s is the address of %s already", s.Address, other)
 	}
-	c.addresses[s.Address] = field
+	c.addresses[s.AddressKey(s.Address)] = field
 	switch s.Protocol {
 	case UDP, TCP, HTTP:
 	default:
@@ -159,7 +159,7 @@
 			c.fault(f+".name", "%q is used twice in this service", s.Servers[i].Name)
 		}
 		seen[s.Servers[i].Name] = true
-		c.server(f, s.Name, &s.Servers[i])
+		c.server(f, s, &s.Servers[i])
 	}
 }
 
@@ -184,14 +184,14 @@
 	}
 }
 
-func (c *checker) server(field, service string, s *Server) {
+func (c *checker) server(field string, service *Service, s *Server) {
 	c.name(field+".name", s.Name)
 	c.address(field+".address", s.Address)
 	c.name(field+".dataCentre", s.DataCentre)
-	if use, ok := c.servers[s.Address]; ok {
+	if use, ok := c.servers[service.AddressKey(s.Address)]; ok {
 		c.fault(field+".address", "%s is the address of %s of service %q already", s.Address, use.field, use.service)
 	}
-	c.servers[s.Address] = serverUse{service: service, field: field}
+	c.servers[service.AddressKey(s.Address)] = serverUse{service: service.Name, field: field}
 	if s.Slots < 1 {
 		c.fault(field+".slots", "%d must be at least 1", s.Slots)
 	}
--- a/pkg/conf/commit_test.go
+++ b/pkg/conf/commit_test.go
@@ -76,6 +76,17 @@
 	is.Equal(len(check.Faults), 3) // Name, service address and server address.
 }
 
+func TestOneAddressMayBeUsedWithEachTransport(t *testing.T) {
+	is := is.New(t)
+	quic, web := section(443, conf.Active), section(443, conf.Active)
+	web.Services[0].Name = "web"
+	web.Services[0].Protocol = conf.HTTP
+	d := conf.Document{Teams: map[string]conf.Section{"a": quic, "b": web}}
+	is.NoErr(conf.Check(&d))
+	web.Services[0].Protocol = conf.UDP
+	is.True(conf.Check(&d) != nil)
+}
+
 func TestLostAnswersAreSettled(t *testing.T) {
 	for lost := 1; lost <= 4; lost++ {
 		t.Run(fmt.Sprint(lost), func(t *testing.T) {
--- a/pkg/conf/document.go
+++ b/pkg/conf/document.go
@@ -17,6 +17,15 @@
 	HTTP Protocol = "http"
 )
 
+// Transport returns the transport protocol, udp or tcp. One IP number and port
+// may be used once with each.
+func (p Protocol) Transport() string {
+	if p == UDP {
+		return "udp"
+	}
+	return "tcp"
+}
+
 // State is what an operator wants of a backend server.
 type State string
 
@@ -89,8 +98,8 @@
 type Service struct {
 	// Name is unique in the document.
 	Name string `json:"name"`
-	// Address is where callers reach the service, as IP:port. It is unique in
-	// the document.
+	// Address is where callers reach the service, as IP:port. With the
+	// transport it is unique in the document.
 	Address string `json:"address"`
 	// Protocol is udp, tcp or http.
 	Protocol Protocol `json:"protocol"`
@@ -132,7 +141,8 @@
 type Server struct {
 	// Name is unique in the service.
 	Name string `json:"name"`
-	// Address is IP:port. It belongs to one service of the document only.
+	// Address is IP:port. With the transport it belongs to one service of the
+	// document only.
 	Address string `json:"address"`
 	// DataCentre is where the server stands.
 	DataCentre string `json:"dataCentre"`
@@ -144,6 +154,11 @@
 	State State `json:"state"`
 }
 
+// AddressKey names a server address of the service with its transport.
+func (s *Service) AddressKey(address string) string {
+	return s.Protocol.Transport() + " " + address
+}
+
 // AddrPort returns the service's address. It must have passed Check.
 func (s *Service) AddrPort() netip.AddrPort { return netip.MustParseAddrPort(s.Address) }
 
