Hold the downloads back until the changes have happened

Change: servers trickle the last part of the download until the join, the drain and the leave are in force everywhere, so the check holds at any speed. Conclusion: the test depends on events, not on speed.

--- a/internal/demo/quic_test.go
+++ b/internal/demo/quic_test.go
@@ -45,8 +45,33 @@
 // content returns the reader of the download, the same for a seed.
 func content() io.Reader { return mrand.NewChaCha8([32]byte{7}) }
 
+const (
+	// heldBack is what servers send at full speed only when they are released.
+	heldBack   = 10 << 20
+	trickle    = 1 << 10
+	trickleGap = 50 * time.Millisecond
+)
+
+// serveDownload sends the download. Its last part only trickles until the
+// release, so that the download goes on while things change.
+func serveDownload(s io.Writer, release <-chan struct{}) {
+	src := content()
+	sent, _ := io.CopyN(s, src, downloadBytes-heldBack)
+	for held := true; held; {
+		select {
+		case <-release:
+			held = false
+		case <-time.After(trickleGap):
+			n, err := io.CopyN(s, src, trickle)
+			sent += n
+			held = err == nil
+		}
+	}
+	_, _ = io.CopyN(s, src, downloadBytes-sent)
+}
+
 // quicServer serves the download to every stream that asks for it.
-func quicServer(t *testing.T, cert tls.Certificate) string {
+func quicServer(t *testing.T, cert tls.Certificate, release <-chan struct{}) string {
 	t.Helper()
 	l, err := quic.ListenAddr("127.0.0.1:0", &tls.Config{Certificates: []tls.Certificate{cert}, NextProtos: []string{alpn}, MinVersion: tls.VersionTLS13}, nil)
 	if err != nil {
@@ -64,7 +89,7 @@
 				if err != nil {
 					return
 				}
-				_, _ = io.CopyN(s, content(), downloadBytes)
+				serveDownload(s, release)
 				_ = s.Close()
 			}()
 		}
@@ -81,12 +106,13 @@
 	is.NoErr(err)
 	defer w.Close()
 	cert := certificate(t)
+	release := make(chan struct{})
 	address, err := w.FreeAddress()
 	is.NoErr(err)
 	service := conf.Service{Name: "catalogue-press", Address: address, Protocol: conf.UDP,
 		IdleTimeout: conf.Duration(8 * time.Second)}
 	for _, name := range []string{"p1", "p2", "p3", "p4"} {
-		service.Servers = append(service.Servers, conf.Server{Name: name, Address: quicServer(t, cert),
+		service.Servers = append(service.Servers, conf.Server{Name: name, Address: quicServer(t, cert, release),
 			DataCentre: "sapporo", Slots: 3, Connections: 2000, State: conf.Active})
 	}
 	section := conf.Section{Services: []conf.Service{service}}
@@ -123,6 +149,9 @@
 		w.Leave(holder(w))
 		close(left)
 	}()
+	is.True(w.WaitMembers("sapporo", 7, 20*time.Second))
+	is.Equal(len(sums), 0)
+	close(release)
 	want := sha256.New()
 	_, err = io.CopyN(want, content(), downloadBytes)
 	is.NoErr(err)
