Serve the platform's flows with marks: the whole path, thin

Cause: on the platform packets of a flow reach any host and answers go from the server straight to the caller, so owners of flows cannot see them. Change: platform/ holds formats and calls; pkg/mark names servers in packets, pkg/fleet derives views from the store, pkg/mirror is the replica, pkg/steer decides for each packet, internal/entry runs it; serve takes a section 'marked'.

--- a/cmd/lagoonramp/serve.go
+++ b/cmd/lagoonramp/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -9,8 +10,10 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"lagoonramp.org/lagoonramp/internal/entry"
 	"lagoonramp.org/lagoonramp/internal/host"
 	"lagoonramp.org/lagoonramp/internal/setup"
+	"lagoonramp.org/lagoonramp/platform"
 )
 
 func serveCommand() *cli.Command {
@@ -18,7 +21,10 @@
 		Name:  "serve",
 		Usage: "run an entry host until SIGTERM; a second signal ends it at once",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Required: true, Usage: "the host's settings, a JSON `FILE`"},
+			&cli.StringFlag{
+				Name: "settings", Required: true, Usage: "the host's settings, a JSON `FILE`",
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			},
 		},
 		Action: serve,
 	}
@@ -34,7 +40,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	h, err := host.New(set, log)
+	h, err := newHost(set, log)
 	if err != nil {
 		return err
 	}
@@ -44,6 +50,9 @@
 	defer stopHard()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go reloadLoop(reload, c.String("settings"), log)
 	go func() {
 		<-signals
 		stopSoft()
@@ -53,6 +62,41 @@
 	return h.Run(soft, hard)
 }
 
+// runner is a host of either kind.
+type runner interface {
+	// Run serves until soft ends, then shuts down gracefully; it returns at
+	// once when hard ends.
+	Run(soft, hard context.Context) error
+}
+
+// newHost makes the host that the settings ask for.
+func newHost(set *setup.Settings, log *zap.Logger) (runner, error) {
+	if set.Marked == nil {
+		return host.New(set, log)
+	}
+	m := set.Marked
+	return entry.New(&entry.Settings{
+		Name: set.Name, DataCentre: set.DataCentre,
+		Packets: netip.MustParseAddrPort(m.Packets), Ready: netip.MustParseAddrPort(m.Ready),
+		Peer: netip.MustParseAddrPort(m.Peer), Seeds: m.SeedAddresses(),
+		FlowLifetime: m.FlowLifetimeOr(), Grace: m.GraceOr(),
+		Codec: platform.Codec{}, Store: platform.NewStore(m.Store), Decoder: platform.Decoder{},
+		ReadinessHandler: platform.ReadinessHandler,
+	}, log)
+}
+
+// reloadLoop checks the settings again at each signal. All settings of a host
+// are bound to its sockets, so changes are in force after a restart.
+func reloadLoop(signals <-chan os.Signal, path string, log *zap.Logger) {
+	for range signals {
+		if _, err := setup.Load(path); err != nil {
+			log.Error("serve: the changed settings are wrong, the former ones stay in force", zap.Error(err))
+			continue
+		}
+		log.Info("serve: the settings were read again; changed ones are in force after a restart")
+	}
+}
+
 // newLog returns a log as the settings ask for. Repeated lines are sampled.
 func newLog(l setup.Log) (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+	"lagoonramp.org/lagoonramp/pkg/mirror"
+)
+
+// Store is the platform's store.
+type Store interface {
+	// Read returns all items and a revision that is not above theirs.
+	Read(ctx context.Context) ([]mirror.Item, uint64, error)
+	// Watch waits for changes after a revision, at most for a time.
+	Watch(ctx context.Context, after uint64, wait time.Duration) ([]mirror.Item, uint64, error)
+	// Announce writes a key of the product that vanishes after a time.
+	Announce(ctx context.Context, key string, value []byte, ttl time.Duration) error
+	Close()
+}
+
+// Decoder reads the items of the store.
+type Decoder interface {
+	// Server decodes a server's entry; ok is false if the item is none.
+	Server(i mirror.Item) (s *fleet.Server, ok bool, err error)
+	// Document decodes the operators' document; ok is false if the item is
+	// none.
+	Document(i mirror.Item) (d *fleet.Document, ok bool, err error)
+	// Own returns the product's own key of an item; ok is false if it is not
+	// the product's.
+	Own(i mirror.Item) (key string, ok bool)
+	// HistoryLost reports whether an error says that changes are not known any
+	// more.
+	HistoryLost(err error) bool
+}
+
+const (
+	// watchWait is how long a watch waits for changes.
+	watchWait = 10 * time.Second
+	// watchPause is the pause after changes, in which further ones gather.
+	watchPause = 800 * time.Millisecond
+	// firstRetry and maxRetry bound the pause after a failed call.
+	firstRetry = 200 * time.Millisecond
+	maxRetry   = time.Second
+)
+
+// control owns the replica and makes views of it.
+type control struct {
+	host    *Host
+	replica *mirror.Mirror
+	builder *fleet.Builder
+	// decoded holds the servers by key, so that an item is decoded once.
+	decoded  map[string]decodedServer
+	document *fleet.Document
+	// documentAt is the revision of the document's item.
+	documentAt uint64
+	rebuild    *time.Timer
+}
+
+type decodedServer struct {
+	revision uint64
+	server   *fleet.Server
+}
+
+// update is news for the control loop.
+type update struct {
+	// delta is what a source gave; nil if it only confirms.
+	delta *mirror.Delta
+	// confirmed is the revision that a source knows to be current at a time,
+	// and at that time.
+	confirmed uint64
+	at        time.Duration
+	source    string
+	done      chan struct{}
+}
+
+// loop handles updates until the context ends.
+func (c *control) loop(ctx context.Context) {
+	c.rebuild = time.NewTimer(time.Hour)
+	defer c.rebuild.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-c.host.updates:
+			c.take(u)
+		case <-c.rebuild.C:
+			c.build(c.host.now())
+		case f := <-c.host.ask:
+			f(c)
+		}
+	}
+}
+
+// take puts an update into the replica.
+func (c *control) take(u update) {
+	now := c.host.now()
+	if u.delta != nil {
+		changed, err := c.replica.Take(now, u.delta)
+		if err != nil {
+			c.host.log.Warn("entry: a state was not taken", zap.String("source", u.source), zap.Error(err))
+		}
+		if changed {
+			c.build(now)
+		}
+	}
+	c.replica.Confirm(u.confirmed, u.at)
+	c.publish(now)
+	c.host.revision.Store(c.replica.Revision())
+	if u.done != nil {
+		close(u.done)
+	}
+}
+
+// build makes a view of the replica.
+func (c *control) build(now time.Duration) {
+	servers := map[string]*fleet.Server{}
+	c.replica.Items(func(i mirror.Item) { c.decode(i, servers) })
+	view := c.builder.Build(now, c.replica.Revision(), c.document, servers)
+	c.host.log.Info("entry: view", zap.Uint64("version", view.Version), zap.Uint64("revision", view.Revision),
+		zap.Int("servers", len(servers)), zap.Int("routes", len(view.Routes)))
+	c.host.published.Store(&published{view: view, confirmed: now - c.replica.Age(now)})
+	if next := c.builder.Next(); next > 0 {
+		c.rebuild.Reset(max(0, next-now) + time.Millisecond)
+	}
+}
+
+// publish tells the traffic loop the age of the view.
+func (c *control) publish(now time.Duration) {
+	p := c.host.published.Load()
+	if p == nil {
+		return
+	}
+	c.host.published.Store(&published{view: p.view, confirmed: now - c.replica.Age(now)})
+}
+
+// decode reads an item, unless that was done before.
+func (c *control) decode(i mirror.Item, servers map[string]*fleet.Server) {
+	if d, ok := c.decoded[i.Key]; ok && d.revision == i.Revision {
+		if d.server != nil {
+			servers[d.server.ID] = d.server
+		}
+		return
+	}
+	s, ok, err := c.host.set.Decoder.Server(i)
+	if ok {
+		c.decoded[i.Key] = decodedServer{revision: i.Revision, server: s}
+		if err != nil {
+			c.host.log.Warn("entry: a server's entry was not understood", zap.String("key", i.Key), zap.Error(err))
+			return
+		}
+		servers[s.ID] = s
+		return
+	}
+	if i.Revision <= c.documentAt {
+		return
+	}
+	d, ok, err := c.host.set.Decoder.Document(i)
+	if !ok {
+		return
+	}
+	c.documentAt = i.Revision
+	if err != nil {
+		c.host.log.Error("entry: the operators' document was not understood, the former one stays in force", zap.Error(err))
+		return
+	}
+	if c.document != nil && d.Version < c.document.Version {
+		c.host.log.Error("entry: the operators' document went back, the former one stays in force",
+			zap.Uint64("version", d.Version), zap.Uint64("inForce", c.document.Version))
+		return
+	}
+	c.document = d
+}
+
+// watchLoop follows the store until the context ends.
+func (h *Host) watchLoop(ctx context.Context) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		changed, err := h.follow(ctx)
+		switch {
+		case err == nil:
+			retry = firstRetry
+			h.storeBack()
+			if changed {
+				pause(ctx, watchPause)
+			}
+		case ctx.Err() != nil:
+			return
+		case h.set.Decoder.HistoryLost(err):
+			h.log.Info("entry: the store's history is lost, reading the whole state")
+			h.whole.Store(true)
+		default:
+			h.storeLost(err)
+			pause(ctx, retry/2+rand.N(retry/2))
+			retry = min(2*retry, maxRetry)
+		}
+	}
+}
+
+// follow makes one call to the store and hands its result to the control loop.
+func (h *Host) follow(ctx context.Context) (changed bool, err error) {
+	revision := h.revision.Load()
+	started := h.now()
+	d := mirror.Delta{Whole: revision == 0 || h.whole.Load()}
+	at := started
+	if d.Whole {
+		d.Items, d.Revision, err = h.set.Store.Read(ctx)
+	} else {
+		d.Items, d.Revision, err = h.set.Store.Watch(ctx, revision, watchWait)
+		at = h.now()
+	}
+	if err != nil {
+		return false, err
+	}
+	if d.Whole {
+		h.whole.Store(false)
+	}
+	done := make(chan struct{})
+	u := update{delta: &d, confirmed: d.Revision, at: at, source: "store", done: done}
+	select {
+	case h.updates <- u:
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return len(d.Items) > 0, nil
+}
+
+func (h *Host) storeLost(err error) {
+	if !h.storeAway.Swap(true) {
+		h.log.Warn("entry: the store is lost", zap.Error(err))
+	}
+}
+
+func (h *Host) storeBack() {
+	if h.storeAway.Swap(false) {
+		h.log.Info("entry: the store is back", zap.Uint64("revision", h.revision.Load()))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+var errNotLoaded = errors.New("the host knows no state yet")
--- /dev/null
+++ b/internal/entry/log.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+	"lagoonramp.org/lagoonramp/pkg/steer"
+)
+
+// decisionLog writes a line for each decision of the traffic loop, bounded by
+// kind: of the ordinary ones a few a second, of the others more.
+type decisionLog struct {
+	ordinary *zap.Logger
+	unusual  *zap.Logger
+}
+
+const (
+	// ordinaryLines and unusualLines are how many lines of a kind are written
+	// a second.
+	ordinaryLines = 2
+	unusualLines  = 50
+)
+
+func newDecisionLog(log *zap.Logger) *decisionLog {
+	return &decisionLog{ordinary: sampled(log, ordinaryLines), unusual: sampled(log, unusualLines)}
+}
+
+func sampled(log *zap.Logger, lines int) *zap.Logger {
+	return log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, lines, 0)
+	}))
+}
+
+// flowFields names a flow, and the view by which it was decided.
+func flowFields(now time.Duration, k steer.Key, by *published) []zap.Field {
+	fields := []zap.Field{
+		zap.Stringer("caller", k.Caller), zap.Stringer("route", k.Service),
+	}
+	if by != nil {
+		fields = append(fields, zap.Uint64("revision", by.view.Revision), zap.Duration("age", now-by.confirmed))
+	}
+	return fields
+}
+
+func serverField(key string, s *fleet.Server) zap.Field {
+	if s == nil {
+		return zap.Skip()
+	}
+	return zap.String(key, s.ID)
+}
+
+func (l *decisionLog) forwarded(now time.Duration, p *steer.Packet, s *fleet.Server, by *published) {
+	if !p.Syn {
+		return
+	}
+	if e := l.ordinary.Check(zap.InfoLevel, "traffic: flow opened"); e != nil {
+		e.Write(append(flowFields(now, p.Key, by), serverField("server", s), zap.Int("copy", p.Copy))...)
+	}
+}
+
+func (l *decisionLog) dropped(now time.Duration, p *steer.Packet, why steer.Reason, by *published) {
+	if e := l.unusual.Check(zap.WarnLevel, "traffic: packet dropped"); e != nil {
+		e.Write(append(flowFields(now, p.Key, by), zap.Stringer("reason", why), zap.Uint32("mark", p.Mark))...)
+	}
+}
+
+func (l *decisionLog) refused(now time.Duration, p *steer.Packet, why steer.Reason, by *published) {
+	if e := l.unusual.Check(zap.WarnLevel, "traffic: flow refused, not run"); e != nil {
+		e.Write(append(flowFields(now, p.Key, by), zap.Stringer("reason", why))...)
+	}
+}
+
+func (l *decisionLog) resent(now time.Duration, r *steer.Resend, by *published) {
+	if e := l.unusual.Check(zap.WarnLevel, "traffic: server silent, SYN sent to another"); e != nil {
+		e.Write(append(flowFields(now, r.Key, by), serverField("silent", r.Silent), serverField("server", r.Server))...)
+	}
+}
+
+func (l *decisionLog) malformed(err error) {
+	l.unusual.Warn("traffic: packet not understood", zap.Error(err))
+}
+
+func (l *decisionLog) failed(step string, err error) {
+	l.unusual.Error("traffic: "+step, zap.Error(err))
+}
--- /dev/null
+++ b/internal/entry/traffic.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"lagoonramp.org/lagoonramp/internal/batch"
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+	"lagoonramp.org/lagoonramp/pkg/steer"
+)
+
+// Codec reads and writes the packets of flows.
+type Codec interface {
+	// Parse decodes a caller's packet.
+	Parse(raw []byte, p *steer.Packet) error
+	// SetMark writes a mark into a packet.
+	SetMark(raw []byte, mark uint32)
+	// SetFrame writes the frame before a packet, which names its server.
+	SetFrame(frame []byte, token uint64)
+	// AppendReset appends a reset for a caller.
+	AppendReset(b []byte, k steer.Key) []byte
+	// MaxPacket and FrameLength are lengths in bytes.
+	MaxPacket() int
+	FrameLength() int
+}
+
+const (
+	// socketBuffer is asked of the system for the packets' socket, in bytes.
+	socketBuffer = 1 << 20
+	// reasonCount is more than there are reasons.
+	reasonCount = 16
+	// freshness is how old the view may be for a refusal of an unknown route.
+	freshness = 3 * time.Second
+)
+
+// Counters count what the traffic loop did since the start.
+type Counters struct {
+	Received, Forwarded, Malformed, Resent, Refused, Unsent, Held atomic.Uint64
+	Dropped                                                       [reasonCount]atomic.Uint64
+}
+
+// traffic forwards packets. All but the counters and the view belongs to its
+// loop.
+type traffic struct {
+	codec    Codec
+	conn     *net.UDPConn
+	reader   *batch.Reader
+	writer   *batch.Writer
+	table    *steer.Table
+	epoch    time.Time
+	view     *atomic.Pointer[published]
+	current  *published
+	counters Counters
+	lastAt   atomic.Int64
+	// resets and resent hold what is sent until the flush.
+	resets, resent []byte
+	log            *decisionLog
+}
+
+// published is what the control loop tells the traffic loop.
+type published struct {
+	view *fleet.View
+	// confirmed is when the view was known to be current.
+	confirmed time.Duration
+}
+
+func newTraffic(set *Settings, epoch time.Time, view *atomic.Pointer[published], log *decisionLog) (*traffic, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(set.Packets))
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for packets")
+	}
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	t := &traffic{codec: set.Codec, conn: conn, epoch: epoch, view: view, log: log}
+	if t.reader, err = batch.NewReader(conn, set.Codec.MaxPacket()+1, set.Codec.FrameLength()); err != nil {
+		return nil, err
+	}
+	if t.writer, err = batch.NewWriter(conn); err != nil {
+		return nil, err
+	}
+	t.table = steer.NewTable(steer.Settings{
+		DataCentre: set.DataCentre,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	return t, nil
+}
+
+// loop forwards packets until the socket is closed.
+func (t *traffic) loop() {
+	for {
+		t.setDeadline()
+		n, err := t.reader.Wait()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			t.resend()
+			continue
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			// An error of an earlier send, such as an unreachable port.
+			continue
+		}
+		t.handle(n)
+		if at, ok := t.table.NextDue(); ok && at <= t.now() {
+			t.resend()
+		}
+	}
+}
+
+func (t *traffic) now() time.Duration { return time.Since(t.epoch) }
+
+// setDeadline ends the wait for packets when a SYN is due for another server.
+func (t *traffic) setDeadline() {
+	at, ok := t.table.NextDue()
+	var deadline time.Time
+	if ok {
+		deadline = t.epoch.Add(at)
+	}
+	if err := t.conn.SetReadDeadline(deadline); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.log.failed("set the deadline of the packets' socket", err)
+	}
+}
+
+// handle forwards the packets of a batch.
+func (t *traffic) handle(n int) {
+	now := t.now()
+	t.refresh(now)
+	t.resets = t.resets[:0]
+	for i := range n {
+		t.packet(now, t.reader.Datagram(i))
+	}
+	t.writer.Flush()
+	t.lastAt.Store(int64(now))
+	t.counters.Received.Add(uint64(n))
+	t.counters.Unsent.Store(t.writer.Failed)
+	t.counters.Held.Store(uint64(t.table.Held()))
+}
+
+func (t *traffic) refresh(now time.Duration) {
+	p := t.view.Load()
+	if p == t.current {
+		return
+	}
+	if t.current == nil || p.view != t.current.view {
+		t.table.SetView(now, p.view)
+	}
+	t.current = p
+}
+
+// packet forwards one packet, which lies behind the room for a frame.
+func (t *traffic) packet(now time.Duration, framed []byte) {
+	room := t.codec.FrameLength()
+	raw := framed[room:]
+	var p steer.Packet
+	if err := t.codec.Parse(raw, &p); err != nil {
+		t.counters.Malformed.Add(1)
+		t.log.malformed(err)
+		return
+	}
+	v := t.table.Packet(now, &p, raw)
+	switch v.Action {
+	case steer.Forward:
+		t.forward(framed, v.Server)
+		t.log.forwarded(now, &p, v.Server, t.current)
+	case steer.Refuse:
+		t.refuse(now, &p, v.Reason)
+	case steer.Drop:
+		t.counters.Dropped[v.Reason].Add(1)
+		t.log.dropped(now, &p, v.Reason, t.current)
+	}
+}
+
+func (t *traffic) forward(framed []byte, s *fleet.Server) {
+	t.codec.SetMark(framed[t.codec.FrameLength():], s.Mark)
+	t.codec.SetFrame(framed, s.Token)
+	t.writer.Add(framed, s.Address)
+	t.counters.Forwarded.Add(1)
+}
+
+// refuse resets a flow that cannot be opened. A host whose view is old cannot
+// know that a route does not exist and says nothing.
+func (t *traffic) refuse(now time.Duration, p *steer.Packet, why steer.Reason) {
+	if now-t.current.confirmed > freshness {
+		t.counters.Dropped[why].Add(1)
+		t.log.dropped(now, p, why, t.current)
+		return
+	}
+	t.counters.Refused.Add(1)
+	t.log.refused(now, p, why, t.current)
+	start := len(t.resets)
+	if cap(t.resets)-start < t.codec.MaxPacket() {
+		t.resets = make([]byte, 0, batch.Size*t.codec.MaxPacket())
+		start = 0
+	}
+	t.resets = t.codec.AppendReset(t.resets, p.Key)
+	to := netip.AddrPortFrom(p.Key.Caller.Addr(), uint16(t.conn.LocalAddr().(*net.UDPAddr).Port))
+	t.writer.Add(t.resets[start:], to)
+}
+
+// resend sends SYNs that stayed without answer to other servers. It first
+// handles the packets that wait, which may be the answers.
+func (t *traffic) resend() {
+	for {
+		n, err := t.reader.Poll()
+		if err != nil || n == 0 {
+			break
+		}
+		t.handle(n)
+	}
+	now := t.now()
+	t.refresh(now)
+	room := t.codec.FrameLength()
+	for {
+		r, ok := t.table.Due(now)
+		if !ok {
+			break
+		}
+		t.resent = append(t.resent[:0], make([]byte, room)...)
+		t.resent = append(t.resent, r.Opening...)
+		t.forward(t.resent, r.Server)
+		t.writer.Flush()
+		t.counters.Resent.Add(1)
+		t.log.resent(now, &r, t.current)
+	}
+}
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -47,6 +47,9 @@
 	Limits Limits `json:"limits,omitzero"`
 	// Log says what is logged.
 	Log Log `json:"log,omitzero"`
+	// Marked makes the host carry flows with marks; of the other sections only
+	// Log is then used.
+	Marked *Marked `json:"marked,omitempty"`
 }
 
 // Ingress is how callers' traffic arrives.
@@ -165,6 +168,20 @@
 	if s.DataCentre == "" {
 		c.fault("dataCentre", "it must not be empty")
 	}
+	if s.Marked != nil {
+		s.Marked.check(&c)
+	} else {
+		s.checkProxy(&c)
+	}
+	s.checkLog(&c)
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return &conf.CheckError{Faults: c.faults}
+}
+
+// checkProxy checks the sections of a host that keeps its flows in tables.
+func (s *Settings) checkProxy(c *checker) {
 	c.address("peer", s.Peer, true)
 	c.address("admin", s.Admin, true)
 	c.address("ingress.udp", s.Ingress.UDP, false)
@@ -187,12 +204,8 @@
 			c.fault(fmt.Sprintf("peers[%d]", i), "name and dataCentre must not be empty")
 		}
 	}
-	s.checkKeys(&c)
-	s.checkRest(&c)
-	if len(c.faults) == 0 {
-		return nil
-	}
-	return &conf.CheckError{Faults: c.faults}
+	s.checkKeys(c)
+	s.checkRest(c)
 }
 
 const (
@@ -241,6 +254,9 @@
 			c.fault(l.field, "it must not be negative")
 		}
 	}
+}
+
+func (s *Settings) checkLog(c *checker) {
 	if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, s.Log.Level) {
 		c.fault("log.level", "%q must be debug, info, warn or error", s.Log.Level)
 	}
--- /dev/null
+++ b/pkg/fleet/builder.go
@@ -0,0 +1,231 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/mark"
+)
+
+// Settings of a Builder. The zero value is usable.
+type Settings struct {
+	// FlowLifetime is how long an open flow may need a server or a route that
+	// is gone. The default is 60 s.
+	FlowLifetime time.Duration
+	// LapseGrace is how long a server that was ready stays in use after its
+	// entry vanished: the store may have been away, and the server writes its
+	// entry again. The default is 2 s.
+	LapseGrace time.Duration
+}
+
+const (
+	defaultFlowLifetime = 60 * time.Second
+	defaultLapseGrace   = 2 * time.Second
+)
+
+// Builder derives views from successive states of the store.
+type Builder struct {
+	set   Settings
+	marks *mark.Table
+	// known holds every server seen within a flow's lifetime, by ID.
+	known map[string]*record
+	// routes holds every route seen within a flow's lifetime.
+	routes map[netip.AddrPort]*routeRecord
+	// next is when the view changes by itself; 0 means never.
+	next time.Duration
+}
+
+type record struct {
+	server *Server
+	// there tells that the store has the entry now.
+	there bool
+	// gone is when the entry vanished.
+	gone time.Duration
+}
+
+type routeRecord struct {
+	targets []Target
+	// until holds how long each former service is remembered.
+	until map[string]time.Duration
+}
+
+// NewBuilder returns a builder that knows nothing.
+func NewBuilder(set Settings) *Builder {
+	if set.FlowLifetime == 0 {
+		set.FlowLifetime = defaultFlowLifetime
+	}
+	if set.LapseGrace == 0 {
+		set.LapseGrace = defaultLapseGrace
+	}
+	return &Builder{
+		set: set, marks: mark.NewTable(set.FlowLifetime),
+		known: map[string]*record{}, routes: map[netip.AddrPort]*routeRecord{},
+	}
+}
+
+// Build returns the view of a state of the store: the document, or nil if none
+// is known, and the servers' entries by ID.
+func (b *Builder) Build(now time.Duration, revision uint64, doc *Document, servers map[string]*Server) *View {
+	b.next = 0
+	b.noteServers(now, servers)
+	v := &View{
+		Revision: revision,
+		Routes:   map[netip.AddrPort]*Path{},
+		Usable:   map[string][]*Server{},
+		Marked:   map[uint32]*Server{},
+	}
+	if doc != nil {
+		v.Version = doc.Version
+		v.IdleTimeout = doc.IdleTimeout
+		b.noteRoutes(now, doc)
+	}
+	b.addServers(now, v)
+	b.addRoutes(now, v)
+	return v
+}
+
+// Next returns when the view changes by itself, 0 for never: the embedder
+// builds it anew then.
+func (b *Builder) Next() time.Duration { return b.next }
+
+func (b *Builder) wakeAt(t time.Duration) {
+	if b.next == 0 || t < b.next {
+		b.next = t
+	}
+}
+
+func (b *Builder) noteServers(now time.Duration, servers map[string]*Server) {
+	for id, s := range servers {
+		r := b.known[id]
+		if r == nil {
+			r = &record{}
+			b.known[id] = r
+		}
+		if r.server == nil || r.server.WarmFor != s.WarmFor || r.server.Started != s.Started {
+			s.WarmUntil = now + s.WarmFor
+		} else {
+			s.WarmUntil = r.server.WarmUntil
+		}
+		r.server = s
+		r.there = true
+	}
+	for id, r := range b.known {
+		if servers[id] != nil {
+			continue
+		}
+		if r.there {
+			r.there = false
+			r.gone = now
+		}
+		if now-r.gone >= b.set.FlowLifetime {
+			delete(b.known, id)
+		}
+	}
+}
+
+// addServers fills the view's servers.
+func (b *Builder) addServers(now time.Duration, v *View) {
+	marks := b.marks.Update(now, slices.Collect(maps.Keys(b.known)))
+	addresses := b.addressHolders()
+	for _, id := range slices.Sorted(maps.Keys(b.known)) {
+		r := b.known[id]
+		m, ok := marks[id]
+		if !ok {
+			continue
+		}
+		s := *r.server
+		s.Mark = m
+		v.Marked[m] = &s
+		if b.usable(now, r) && addresses[s.Address] == id {
+			v.Usable[s.Service] = append(v.Usable[s.Service], &s)
+		}
+	}
+}
+
+// addressHolders returns which server holds each address: the one that started
+// last among those that the store has.
+func (b *Builder) addressHolders() map[netip.AddrPort]string {
+	out := map[netip.AddrPort]string{}
+	for id, r := range b.known {
+		other := b.known[out[r.server.Address]]
+		if other == nil || holdsBefore(r, other) {
+			out[r.server.Address] = id
+		}
+	}
+	return out
+}
+
+// holdsBefore reports whether a rather than b has the address of both.
+func holdsBefore(a, b *record) bool {
+	if a.there != b.there {
+		return a.there
+	}
+	if c := a.server.Started.Compare(b.server.Started); c != 0 {
+		return c > 0
+	}
+	return cmp.Less(a.server.ID, b.server.ID)
+}
+
+// usable reports whether a server takes new flows.
+func (b *Builder) usable(now time.Duration, r *record) bool {
+	if r.server.State != Ready {
+		return false
+	}
+	if r.there {
+		return true
+	}
+	end := r.gone + b.set.LapseGrace
+	if now >= end {
+		return false
+	}
+	b.wakeAt(end)
+	return true
+}
+
+// noteRoutes remembers the routes and the services that they left.
+func (b *Builder) noteRoutes(now time.Duration, doc *Document) {
+	current := make(map[netip.AddrPort][]Target, len(doc.Routes))
+	for _, r := range doc.Routes {
+		current[r.Address] = r.Targets
+		if b.routes[r.Address] == nil {
+			b.routes[r.Address] = &routeRecord{until: map[string]time.Duration{}}
+		}
+	}
+	for a, r := range b.routes {
+		r.targets = current[a]
+		for _, t := range r.targets {
+			r.until[t.Service] = now + b.set.FlowLifetime
+		}
+	}
+}
+
+// addRoutes fills the view's routes.
+func (b *Builder) addRoutes(now time.Duration, v *View) {
+	for a, r := range b.routes {
+		p := &Path{Targets: r.targets}
+		for service, until := range r.until {
+			if isTarget(r.targets, service) {
+				r.until[service] = now + b.set.FlowLifetime
+				continue
+			}
+			if now >= until {
+				delete(r.until, service)
+				continue
+			}
+			p.Former = append(p.Former, service)
+		}
+		if len(r.until) == 0 && len(r.targets) == 0 {
+			delete(b.routes, a)
+			continue
+		}
+		slices.Sort(p.Former)
+		v.Routes[a] = p
+	}
+}
+
+func isTarget(targets []Target, service string) bool {
+	return slices.ContainsFunc(targets, func(t Target) bool { return t.Service == service })
+}
--- /dev/null
+++ b/pkg/steer/packet.go
@@ -0,0 +1,85 @@
+package steer
+
+import (
+	"net/netip"
+
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+)
+
+// Key names a flow by its ends.
+type Key struct {
+	// Caller is the caller's end.
+	Caller netip.AddrPort
+	// Service is the route's address.
+	Service netip.AddrPort
+}
+
+// Packet is what a host reads of a caller's packet.
+type Packet struct {
+	Key Key
+	// Mark names the server that the flow's latest answer came from; a SYN
+	// carries 0.
+	Mark uint32
+	// Sequence and Ack count bytes, as in TCP.
+	Sequence, Ack uint32
+	// Length is the number of data bytes.
+	Length int
+	// Copy counts the copies of a SYN; the first has 0.
+	Copy            int
+	Syn, Fin, Reset bool
+}
+
+// Action is what is to be done with a packet.
+type Action uint8
+
+// The actions.
+const (
+	// Drop: the packet goes nowhere.
+	Drop Action = iota
+	// Forward: the packet goes to the server of the verdict.
+	Forward
+	// Refuse: the caller gets a reset, since its flow cannot be opened.
+	Refuse
+)
+
+// Reason says why a packet was dropped or refused.
+type Reason uint8
+
+// The reasons.
+const (
+	None Reason = iota
+	// NoView: the host does not know the configuration yet.
+	NoView
+	// NoRoute: no route has the packet's address.
+	NoRoute
+	// NoServer: no server takes flows of the service.
+	NoServer
+	// UnknownMark: the packet's mark names no server of the route.
+	UnknownMark
+	reasons
+)
+
+var reasonNames = [reasons]string{"none", "noView", "noRoute", "noServer", "unknownMark"}
+
+// String returns the reason's name.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Verdict is what a Table decided of a packet.
+type Verdict struct {
+	Action Action
+	// Server is where the packet goes; nil unless Action is Forward.
+	Server *fleet.Server
+	Reason Reason
+}
+
+// Resend is a SYN that goes to another server, since the server that had it
+// first did not answer.
+type Resend struct {
+	Key    Key
+	Server *fleet.Server
+	// Silent is the server that did not answer.
+	Silent *fleet.Server
+	// Opening is the SYN as it was received. It is valid until the next call
+	// of the Table.
+	Opening []byte
+}
--- /dev/null
+++ b/pkg/steer/table.go
@@ -0,0 +1,386 @@
+package steer
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+)
+
+// Settings of a Table. The zero value is usable but for Rand.
+type Settings struct {
+	// DataCentre is where the host stands.
+	DataCentre string
+	// MaxFlows bounds the flows that are remembered; more are forwarded but
+	// not watched. The default is 100,000.
+	MaxFlows int
+	// Tries bounds the servers to which a SYN is sent. The default is 4.
+	Tries int
+	// Forget is how long a flow without packets is remembered. The default is
+	// 5 s.
+	Forget time.Duration
+	// ForgetSplit is the same for flows whose SYN went to two servers. The
+	// default is 60 s.
+	ForgetSplit time.Duration
+	// Rand breaks ties between servers.
+	Rand *rand.Rand
+}
+
+const (
+	defaultMaxFlows    = 100_000
+	defaultTries       = 4
+	maxTries           = 8
+	defaultForget      = 5 * time.Second
+	defaultForgetSplit = 60 * time.Second
+	// sweepEvery is how often flows are looked through for forgotten ones.
+	sweepEvery = time.Second
+	// maxOpening bounds the SYN that is kept for another server, in bytes.
+	maxOpening = 64
+)
+
+// Table decides for the packets that one host receives.
+type Table struct {
+	set     Settings
+	view    *fleet.View
+	flows   map[Key]*flow
+	free    *flow
+	servers map[uint32]*Health
+	centres map[string]*estimator
+	due     dueHeap
+	sweepAt time.Duration
+	opening [maxOpening]byte
+}
+
+// flow is what is remembered of a flow.
+type flow struct {
+	key Key
+	// sequence is that of the SYN; another one begins a new flow.
+	sequence uint32
+	service  string
+	// tried holds the marks of the servers that got the SYN, in order.
+	tried [maxTries]uint32
+	tries int
+	// pinned is the mark of the server at which the flow opened, 0 before.
+	pinned uint32
+	// sentAt is when the SYN went to the latest server and lastAt when the
+	// latest packet came.
+	sentAt, lastAt time.Duration
+	// busy is the mark of the server that is taken to work for the flow, or 0.
+	busy uint32
+	// asked tells that a request waits for its answer, since askedAt, when the
+	// caller had acknowledged askedAck.
+	asked    bool
+	askedAt  time.Duration
+	askedAck uint32
+	ended    bool
+	// serial tells a new use of the record from entries of the heap.
+	serial  uint32
+	opening [maxOpening]byte
+	length  int
+	next    *flow
+}
+
+// NewTable returns an empty table.
+func NewTable(set Settings) *Table {
+	if set.Rand == nil {
+		panic("steer: a random source must be given")
+	}
+	if set.MaxFlows == 0 {
+		set.MaxFlows = defaultMaxFlows
+	}
+	if set.Tries == 0 {
+		set.Tries = defaultTries
+	}
+	set.Tries = min(set.Tries, maxTries)
+	if set.Forget == 0 {
+		set.Forget = defaultForget
+	}
+	if set.ForgetSplit == 0 {
+		set.ForgetSplit = defaultForgetSplit
+	}
+	return &Table{
+		set: set, flows: map[Key]*flow{}, servers: map[uint32]*Health{}, centres: map[string]*estimator{},
+	}
+}
+
+// SetView puts a new view in force.
+func (t *Table) SetView(now time.Duration, v *fleet.View) {
+	t.view = v
+	for m, s := range v.Marked {
+		h := t.servers[m]
+		if h == nil || h.started != s.Started {
+			t.servers[m] = newHealth(s, h)
+		}
+	}
+	for m := range t.servers {
+		if v.Marked[m] == nil {
+			delete(t.servers, m)
+		}
+	}
+}
+
+// Held returns how many flows are remembered.
+func (t *Table) Held() int { return len(t.flows) }
+
+// Packet decides where a packet goes. The raw packet is kept, if it is a SYN,
+// for another server.
+func (t *Table) Packet(now time.Duration, p *Packet, raw []byte) Verdict {
+	if now >= t.sweepAt {
+		t.sweep(now)
+	}
+	if t.view == nil {
+		return Verdict{Reason: NoView}
+	}
+	if p.Syn {
+		return t.syn(now, p, raw)
+	}
+	return t.later(now, p)
+}
+
+// syn decides for a SYN or a copy of it.
+func (t *Table) syn(now time.Duration, p *Packet, raw []byte) Verdict {
+	f := t.flows[p.Key]
+	if f != nil && f.sequence == p.Sequence && !f.ended {
+		return t.synCopy(now, f)
+	}
+	if f != nil {
+		t.drop(f)
+	}
+	path := t.view.Routes[p.Key.Service]
+	if path == nil || len(path.Targets) == 0 {
+		return Verdict{Action: Refuse, Reason: NoRoute}
+	}
+	service := chooseTarget(path.Targets, p.Key)
+	s := t.choose(now, service, nil)
+	if s == nil {
+		return Verdict{Action: Refuse, Reason: NoServer}
+	}
+	if len(t.flows) < t.set.MaxFlows && len(raw) <= maxOpening {
+		f = t.newFlow(p, service, raw)
+		t.send(now, f, s)
+	}
+	return Verdict{Action: Forward, Server: s}
+}
+
+// synCopy sends a copy of a SYN where the latest one went.
+func (t *Table) synCopy(now time.Duration, f *flow) Verdict {
+	f.lastAt = now
+	m := f.pinned
+	if m == 0 {
+		m = f.tried[f.tries-1]
+	}
+	if s := t.view.Marked[m]; s != nil {
+		return Verdict{Action: Forward, Server: s}
+	}
+	return Verdict{Action: Refuse, Reason: NoServer}
+}
+
+// later decides for a packet after the SYN.
+func (t *Table) later(now time.Duration, p *Packet) Verdict {
+	f := t.flows[p.Key]
+	s := t.marked(p, f)
+	if s == nil {
+		return Verdict{Reason: UnknownMark}
+	}
+	if f != nil {
+		t.observe(now, f, p, s)
+	}
+	return Verdict{Action: Forward, Server: s}
+}
+
+// marked returns the server of a packet after the SYN, or nil. A flow whose SYN
+// went to two servers stays where it opened, but a reset goes to the server
+// whose answer caused it.
+func (t *Table) marked(p *Packet, f *flow) *fleet.Server {
+	m := p.Mark
+	if f != nil && f.tries > 1 && f.pinned != 0 && !p.Reset {
+		m = f.pinned
+	}
+	if m == 0 && f != nil && f.tries > 0 {
+		m = f.tried[0]
+	}
+	s := t.view.Marked[m]
+	if s == nil {
+		return nil
+	}
+	path := t.view.Routes[p.Key.Service]
+	if path == nil || !path.Allows(s.Service) {
+		return nil
+	}
+	return s
+}
+
+// observe learns from a packet of a remembered flow, which goes to server s.
+func (t *Table) observe(now time.Duration, f *flow, p *Packet, s *fleet.Server) {
+	f.lastAt = now
+	if f.pinned == 0 {
+		t.open(now, f, s)
+	}
+	if p.Length > 0 && !f.asked {
+		f.asked = true
+		f.askedAt = now
+		f.askedAck = p.Ack
+		t.setBusy(f, s.Mark)
+	}
+	if f.asked && int32(p.Ack-f.askedAck) > 0 {
+		f.asked = false
+		t.answered(now, f, s)
+	}
+	if p.Fin || p.Reset {
+		f.ended = true
+		t.setBusy(f, 0)
+	}
+}
+
+// open notes that a flow opened at a server.
+func (t *Table) open(now time.Duration, f *flow, s *fleet.Server) {
+	f.pinned = s.Mark
+	h := t.servers[s.Mark]
+	if h == nil {
+		return
+	}
+	h.reached(now)
+	if f.tried[f.tries-1] == s.Mark {
+		t.centre(s.DataCentre).add(now - f.sentAt)
+	}
+	t.setBusy(f, s.Mark)
+}
+
+// answered notes that the answer to a flow's request began.
+func (t *Table) answered(now time.Duration, f *flow, s *fleet.Server) {
+	t.setBusy(f, 0)
+	if h := t.servers[s.Mark]; h != nil {
+		h.reached(now)
+	}
+}
+
+// setBusy moves the load of a flow to a server, 0 for none.
+func (t *Table) setBusy(f *flow, m uint32) {
+	if f.busy == m {
+		return
+	}
+	if h := t.servers[f.busy]; h != nil && h.busy > 0 {
+		h.busy--
+	}
+	f.busy = 0
+	if h := t.servers[m]; h != nil {
+		h.busy++
+		f.busy = m
+	}
+}
+
+// send notes that a flow's SYN goes to a server.
+func (t *Table) send(now time.Duration, f *flow, s *fleet.Server) {
+	f.tried[f.tries] = s.Mark
+	f.tries++
+	f.sentAt = now
+	f.lastAt = now
+	t.setBusy(f, s.Mark)
+	if h := t.servers[s.Mark]; h.suspect() {
+		h.retryAt = now + maxRest
+	}
+	if f.tries < t.set.Tries {
+		heap.Push(&t.due, dueEntry{at: now + t.centre(s.DataCentre).wait(), flow: f, serial: f.serial})
+	}
+}
+
+// NextDue returns when Due has something to do; ok is false if nothing waits.
+func (t *Table) NextDue() (at time.Duration, ok bool) {
+	if len(t.due) == 0 {
+		return 0, false
+	}
+	return t.due[0].at, true
+}
+
+// Due returns the next SYN that is to be sent to another server by now. It is
+// to be called after all packets that wait have been handled, so that a host
+// that was paused does not take its own delay for the servers'.
+func (t *Table) Due(now time.Duration) (r Resend, ok bool) {
+	for len(t.due) > 0 && t.due[0].at <= now {
+		e := heap.Pop(&t.due).(dueEntry)
+		f := e.flow
+		if f.serial != e.serial || f.pinned != 0 || f.ended {
+			continue
+		}
+		if r, ok = t.resend(now, f); ok {
+			return r, true
+		}
+	}
+	return Resend{}, false
+}
+
+// resend sends a flow's SYN to another server.
+func (t *Table) resend(now time.Duration, f *flow) (Resend, bool) {
+	silent := f.tried[f.tries-1]
+	if h := t.servers[silent]; h != nil {
+		h.unanswered(now, f.sentAt)
+	}
+	s := t.choose(now, f.service, f)
+	if s == nil {
+		return Resend{}, false
+	}
+	t.send(now, f, s)
+	n := copy(t.opening[:], f.opening[:f.length])
+	return Resend{Key: f.key, Server: s, Silent: t.view.Marked[silent], Opening: t.opening[:n]}, true
+}
+
+// newFlow begins to remember a flow.
+func (t *Table) newFlow(p *Packet, service string, raw []byte) *flow {
+	f := t.free
+	if f == nil {
+		f = &flow{}
+	} else {
+		t.free = f.next
+	}
+	*f = flow{key: p.Key, sequence: p.Sequence, service: service, serial: f.serial}
+	f.length = copy(f.opening[:], raw)
+	t.flows[p.Key] = f
+	return f
+}
+
+// drop forgets a flow.
+func (t *Table) drop(f *flow) {
+	t.setBusy(f, 0)
+	delete(t.flows, f.key)
+	f.serial++
+	f.next = t.free
+	t.free = f
+}
+
+// sweep forgets flows without packets.
+func (t *Table) sweep(now time.Duration) {
+	t.sweepAt = now + sweepEvery
+	for _, f := range t.flows {
+		limit := t.set.Forget
+		if f.tries > 1 && !f.ended {
+			limit = t.set.ForgetSplit
+		}
+		if now-f.lastAt >= limit {
+			t.drop(f)
+		} else if now-f.lastAt >= t.set.Forget {
+			t.setBusy(f, 0)
+		}
+	}
+}
+
+// dueEntry is a flow whose SYN has to be acknowledged by a time.
+type dueEntry struct {
+	at     time.Duration
+	flow   *flow
+	serial uint32
+}
+
+type dueHeap []dueEntry
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)        { *h = append(*h, x.(dueEntry)) }
+func (h *dueHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = dueEntry{}
+	*h = old[:len(old)-1]
+	return e
+}
