Follow the store by few watchers that notice lost answers; learn from peers

Log of se-east-b-2: the watch that began at -5.3 s was given up at 6.67 s. Ruled out: stale reads (none is serializable), the pace after events.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -17,7 +17,8 @@
 	// Read returns all items and a revision that is not above theirs.
 	Read(ctx context.Context) ([]mirror.Item, uint64, error)
 	// Watch waits for changes after a revision, at most for a time.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]mirror.Item, uint64, error)
+	// The call fails if it takes longer than that and a grace.
+	Watch(ctx context.Context, after uint64, wait, grace time.Duration) ([]mirror.Item, uint64, error)
 	// Announce writes a key of the product that vanishes after a time.
 	Announce(ctx context.Context, key string, value []byte, ttl time.Duration) error
 	Close()
@@ -39,13 +40,21 @@
 }
 
 const (
-	// watchWait is how long a watch waits for changes.
-	watchWait = 10 * time.Second
+	// watchWait is how long a watch waits for changes. It bounds how long a
+	// watch whose answer is lost goes unnoticed.
+	watchWait = 1200 * time.Millisecond
+	// firstGrace is how much longer than its wait a watch may take; each loss
+	// in a row doubles it up to maxGrace, since the store may be slow.
+	firstGrace = 400 * time.Millisecond
+	maxGrace   = 3200 * time.Millisecond
 	// watchPause is the pause after changes, in which further ones gather.
 	watchPause = 800 * time.Millisecond
-	// firstRetry and maxRetry bound the pause after a failed call.
-	firstRetry = 200 * time.Millisecond
+	// firstRetry and maxRetry bound the pause after a refused call.
+	firstRetry = 100 * time.Millisecond
 	maxRetry   = time.Second
+	// idlePoll is how often a host that does not watch looks whether it has
+	// to.
+	idlePoll = 50 * time.Millisecond
 )
 
 // control owns the replica and makes views of it.
@@ -59,6 +68,7 @@
 	// documentAt is the revision of the document's item.
 	documentAt uint64
 	rebuild    *time.Timer
+	peers      *peers
 }
 
 type decodedServer struct {
@@ -66,32 +76,32 @@
 	server   *fleet.Server
 }
 
-// update is news for the control loop.
+// update is news for the replica.
 type update struct {
-	// delta is what a source gave; nil if it only confirms.
 	delta *mirror.Delta
-	// confirmed is the revision that a source knows to be current at a time,
-	// and at that time.
+	// confirmed is a revision that the source knew to be current at a time.
 	confirmed uint64
 	at        time.Duration
-	source    string
-	done      chan struct{}
+	// source names who gave the update.
+	source string
 }
 
-// loop handles updates until the context ends.
+// loop runs what others ask of the control loop until the context ends.
 func (c *control) loop(ctx context.Context) {
 	c.rebuild = time.NewTimer(time.Hour)
 	defer c.rebuild.Stop()
+	ticker := time.NewTicker(peerTick)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case u := <-c.host.updates:
-			c.take(u)
+		case f := <-c.host.do:
+			f(c)
 		case <-c.rebuild.C:
 			c.build(c.host.now())
-		case f := <-c.host.ask:
-			f(c)
+		case <-ticker.C:
+			c.peers.tick(c.host.now(), c)
 		}
 	}
 }
@@ -99,20 +109,20 @@
 // take puts an update into the replica.
 func (c *control) take(u update) {
 	now := c.host.now()
-	if u.delta != nil {
-		changed, err := c.replica.Take(now, u.delta)
-		if err != nil {
-			c.host.log.Warn("entry: a state was not taken", zap.String("source", u.source), zap.Error(err))
-		}
-		if changed {
-			c.build(now)
-		}
+	before := c.replica.Revision()
+	changed, err := c.replica.Take(now, u.delta)
+	if err != nil {
+		c.host.log.Warn("control: a state was not taken", zap.String("source", u.source), zap.Error(err))
+		return
+	}
+	if changed {
+		c.build(now)
 	}
 	c.replica.Confirm(u.confirmed, u.at)
 	c.publish(now)
 	c.host.revision.Store(c.replica.Revision())
-	if u.done != nil {
-		close(u.done)
+	if c.replica.Revision() > before {
+		c.peers.adopted(now, before, u.delta.Items, c)
 	}
 }
 
@@ -121,7 +131,7 @@
 	servers := map[string]*fleet.Server{}
 	c.replica.Items(func(i mirror.Item) { c.decode(i, servers) })
 	view := c.builder.Build(now, c.replica.Revision(), c.document, servers)
-	c.host.log.Info("entry: view", zap.Uint64("version", view.Version), zap.Uint64("revision", view.Revision),
+	c.host.log.Info("control: view", zap.Uint64("version", view.Version), zap.Uint64("revision", view.Revision),
 		zap.Int("servers", len(servers)), zap.Int("routes", len(view.Routes)))
 	c.host.published.Store(&published{view: view, confirmed: now - c.replica.Age(now)})
 	if next := c.builder.Next(); next > 0 {
@@ -150,7 +160,7 @@
 	if ok {
 		c.decoded[i.Key] = decodedServer{revision: i.Revision, server: s}
 		if err != nil {
-			c.host.log.Warn("entry: a server's entry was not understood", zap.String("key", i.Key), zap.Error(err))
+			c.host.log.Warn("control: a server's entry was not understood", zap.String("key", i.Key), zap.Error(err))
 			return
 		}
 		servers[s.ID] = s
@@ -165,25 +175,31 @@
 	}
 	c.documentAt = i.Revision
 	if err != nil {
-		c.host.log.Error("entry: the operators' document was not understood, the former one stays in force", zap.Error(err))
+		c.host.log.Error("control: the operators' document was not understood, the former one stays in force", zap.Error(err))
 		return
 	}
 	if c.document != nil && d.Version < c.document.Version {
-		c.host.log.Error("entry: the operators' document went back, the former one stays in force",
+		c.host.log.Error("control: the operators' document went back, the former one stays in force",
 			zap.Uint64("version", d.Version), zap.Uint64("inForce", c.document.Version))
 		return
 	}
 	c.document = d
 }
 
-// watchLoop follows the store until the context ends.
+// watchLoop follows the store, while it is this host's turn, until the context
+// ends.
 func (h *Host) watchLoop(ctx context.Context) {
-	retry := firstRetry
+	retry, grace := firstRetry, firstGrace
 	for ctx.Err() == nil {
-		changed, err := h.follow(ctx)
+		if !h.watch.Load() {
+			h.served.Store(false)
+			pause(ctx, idlePoll)
+			continue
+		}
+		changed, err := h.follow(ctx, grace)
 		switch {
 		case err == nil:
-			retry = firstRetry
+			retry, grace = firstRetry, firstGrace
 			h.storeBack()
 			if changed {
 				pause(ctx, watchPause)
@@ -191,8 +207,12 @@
 		case ctx.Err() != nil:
 			return
 		case h.set.Decoder.HistoryLost(err):
-			h.log.Info("entry: the store's history is lost, reading the whole state")
+			h.log.Info("watch: the store's history is lost, reading the whole state")
 			h.whole.Store(true)
+		case errors.Is(err, context.DeadlineExceeded):
+			// The answer may be lost for good: ask again at once.
+			h.storeLost(err)
+			grace = min(2*grace, maxGrace)
 		default:
 			h.storeLost(err)
 			pause(ctx, retry/2+rand.N(retry/2))
@@ -202,16 +222,17 @@
 }
 
 // follow makes one call to the store and hands its result to the control loop.
-func (h *Host) follow(ctx context.Context) (changed bool, err error) {
+func (h *Host) follow(ctx context.Context, grace time.Duration) (changed bool, err error) {
 	revision := h.revision.Load()
-	started := h.now()
-	d := mirror.Delta{Whole: revision == 0 || h.whole.Load()}
-	at := started
+	at := h.now()
+	d := &mirror.Delta{Whole: revision == 0 || h.whole.Load()}
 	if d.Whole {
 		d.Items, d.Revision, err = h.set.Store.Read(ctx)
 	} else {
-		d.Items, d.Revision, err = h.set.Store.Watch(ctx, revision, watchWait)
-		at = h.now()
+		d.Items, d.Revision, err = h.set.Store.Watch(ctx, revision, watchWait, grace)
+		if len(d.Items) == 0 {
+			at = h.now()
+		}
 	}
 	if err != nil {
 		return false, err
@@ -219,29 +240,23 @@
 	if d.Whole {
 		h.whole.Store(false)
 	}
-	done := make(chan struct{})
-	u := update{delta: &d, confirmed: d.Revision, at: at, source: "store", done: done}
-	select {
-	case h.updates <- u:
-	case <-ctx.Done():
-		return false, ctx.Err()
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	h.call(func(c *control) {
+		c.take(update{delta: d, confirmed: d.Revision, at: at, source: "store"})
+	})
 	return len(d.Items) > 0, nil
 }
 
 func (h *Host) storeLost(err error) {
+	h.served.Store(false)
 	if !h.storeAway.Swap(true) {
-		h.log.Warn("entry: the store is lost", zap.Error(err))
+		h.log.Warn("watch: the store is lost", zap.Error(err))
 	}
 }
 
 func (h *Host) storeBack() {
+	h.served.Store(true)
 	if h.storeAway.Swap(false) {
-		h.log.Info("entry: the store is back", zap.Uint64("revision", h.revision.Load()))
+		h.log.Info("watch: the store is back", zap.Uint64("revision", h.revision.Load()))
 	}
 }
 
@@ -253,5 +268,3 @@
 	case <-t.C:
 	}
 }
-
-var errNotLoaded = errors.New("the host knows no state yet")
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -48,6 +48,8 @@
 	quietFor = 400 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 1500 * time.Millisecond
+	// controlQueue bounds what waits for the control loop.
+	controlQueue = 256
 )
 
 // Host is one entry host.
@@ -57,30 +59,62 @@
 	epoch     time.Time
 	traffic   *traffic
 	published atomic.Pointer[published]
-	updates   chan update
-	ask       chan func(*control)
-	ready     net.Listener
-	revision  atomic.Uint64
+	// do hands work to the control loop.
+	do       chan func(*control)
+	ready    net.Listener
+	peerWeb  net.Listener
+	peerConn *net.UDPConn
+	revision atomic.Uint64
 	// whole asks the watch loop to read the whole state.
-	whole     atomic.Bool
-	storeAway atomic.Bool
-	leaving   atomic.Bool
+	whole atomic.Bool
+	// watch tells that it is this host's turn to watch the store, and served
+	// that the store served its latest call.
+	watch, served, storeAway atomic.Bool
+	leaving                  atomic.Bool
+	// stopped is closed when the control loop ends.
+	stopped chan struct{}
 }
 
 // New opens the host's sockets.
 func New(set *Settings, log *zap.Logger) (*Host, error) {
-	h := &Host{set: set, log: log, epoch: time.Now(), updates: make(chan update), ask: make(chan func(*control))}
+	h := &Host{set: set, log: log, epoch: time.Now(), do: make(chan func(*control), controlQueue), stopped: make(chan struct{})}
 	var err error
 	if h.ready, err = net.Listen("tcp4", set.Ready.String()); err != nil {
 		return nil, eris.Wrap(err, "listen for readiness checks")
 	}
+	if h.peerWeb, err = net.Listen("tcp4", set.Peer.String()); err != nil {
+		return nil, eris.Wrap(err, "listen for peers' requests")
+	}
+	if h.peerConn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(set.Peer)); err != nil {
+		return nil, eris.Wrap(err, "listen for peers' datagrams")
+	}
 	if h.traffic, err = newTraffic(set, h.epoch, &h.published, newDecisionLog(log)); err != nil {
-		_ = h.ready.Close()
 		return nil, err
 	}
 	return h, nil
 }
 
+// call runs f in the control loop and waits for it.
+func (h *Host) call(f func(c *control)) {
+	done := make(chan struct{})
+	h.post(func(c *control) {
+		f(c)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-h.stopped:
+	}
+}
+
+// post runs f in the control loop soon.
+func (h *Host) post(f func(c *control)) {
+	select {
+	case h.do <- f:
+	case <-h.stopped:
+	}
+}
+
 func (h *Host) now() time.Duration { return time.Since(h.epoch) }
 
 // isReady reports whether callers' flows may come here.
@@ -99,23 +133,36 @@
 		host: h, replica: mirror.New(mirror.Settings{}), decoded: map[string]decodedServer{},
 		builder: fleet.NewBuilder(fleet.Settings{FlowLifetime: h.set.FlowLifetime}),
 	}
-	server := &http.Server{Handler: h.set.ReadinessHandler(h.isReady)}
+	c.peers = newPeers(h, h.peerConn)
+	h.watch.Store(true)
+	web := http.NewServeMux()
+	web.HandleFunc("GET /state", h.stateHandler)
+	servers := []*http.Server{{Handler: h.set.ReadinessHandler(h.isReady)}, {Handler: web}}
 	var group sync.WaitGroup
-	group.Go(func() { c.loop(run) })
-	group.Go(func() { h.watchLoop(run) })
-	group.Go(h.traffic.loop)
 	group.Go(func() {
-		if err := server.Serve(h.ready); err != http.ErrServerClosed {
-			h.log.Error("entry: readiness checks are not answered any more", zap.Error(err))
-		}
+		defer close(h.stopped)
+		c.loop(run)
 	})
+	group.Go(c.peers.readLoop)
+	group.Go(func() { h.watchLoop(run) })
+	group.Go(h.traffic.loop)
+	for i, l := range []net.Listener{h.ready, h.peerWeb} {
+		group.Go(func() {
+			if err := servers[i].Serve(l); err != http.ErrServerClosed {
+				h.log.Error("entry: requests are not answered any more", zap.Stringer("address", l.Addr()), zap.Error(err))
+			}
+		})
+	}
 	select {
 	case <-ctx.Done():
 		h.leave(hard)
 	case <-hard.Done():
 	}
 	cancel()
-	_ = server.Close()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	_ = h.peerConn.Close()
 	_ = h.traffic.conn.Close()
 	h.set.Store.Close()
 	group.Wait()
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -101,7 +101,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			t.resend()
 			continue
-		case errors.Is(err, net.ErrClosed):
+		case isClosed(err):
 			return
 		case err != nil:
 			// An error of an earlier send, such as an unreachable port.
@@ -123,7 +123,7 @@
 	if ok {
 		deadline = t.epoch.Add(at)
 	}
-	if err := t.conn.SetReadDeadline(deadline); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := t.conn.SetReadDeadline(deadline); err != nil && !isClosed(err) {
 		t.log.failed("set the deadline of the packets' socket", err)
 	}
 }
@@ -230,3 +230,5 @@
 		t.log.resent(now, &r, t.current)
 	}
 }
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/pkg/spread/watchers.go
@@ -0,0 +1,129 @@
+package spread
+
+import (
+	"slices"
+	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/rendez"
+)
+
+// WatchersSettings of a Watchers. The zero value is usable.
+type WatchersSettings struct {
+	// Count is how many hosts that hear each other watch the store. The
+	// default is 2.
+	Count int
+	// Lost is how long after its last message a watcher is taken to be lost.
+	// The default is 1.2 s.
+	Lost time.Duration
+	// Step is how much longer the next host in the order waits before it
+	// replaces a lost watcher. The default is 60 ms.
+	Step time.Duration
+	// MaxDelay bounds that wait. The default is 600 ms.
+	MaxDelay time.Duration
+}
+
+const (
+	defaultLost     = 1200 * time.Millisecond
+	defaultStep     = 60 * time.Millisecond
+	defaultMaxDelay = 600 * time.Millisecond
+)
+
+// Watchers decides whether a host watches the store itself or leaves that to
+// others. A few hosts watch, the first in rendezvous order of those that the
+// store serves; each group of hosts that hear each other has its own, so a
+// data centre that is cut off finds some by itself. Too many watchers cost
+// calls and do no other harm, so no agreement is needed.
+type Watchers struct {
+	set   WatchersSettings
+	self  uint64
+	hosts []uint64
+	// served holds when a message of a host said last that the store serves
+	// it.
+	served map[uint64]time.Duration
+	// lacking is since when there are too few watchers, -1 if there are
+	// enough.
+	lacking  time.Duration
+	watching bool
+}
+
+// NewWatchers returns a machine for a host.
+func NewWatchers(self uint64, set WatchersSettings) *Watchers {
+	if set.Count == 0 {
+		set.Count = defaultWatchers
+	}
+	if set.Lost == 0 {
+		set.Lost = defaultLost
+	}
+	if set.Step == 0 {
+		set.Step = defaultStep
+	}
+	if set.MaxDelay == 0 {
+		set.MaxDelay = defaultMaxDelay
+	}
+	return &Watchers{set: set, self: self, served: map[uint64]time.Duration{}, lacking: -1}
+}
+
+// SetHosts names the known hosts, self included.
+func (w *Watchers) SetHosts(hosts []uint64) { w.hosts = slices.Clone(hosts) }
+
+// Heard notes a message of a host, which says whether the store serves it.
+func (w *Watchers) Heard(now time.Duration, host uint64, served bool) {
+	if served {
+		w.served[host] = now
+	} else {
+		delete(w.served, host)
+	}
+}
+
+// Watches decides whether this host watches now. Served tells whether the
+// store served its latest call.
+func (w *Watchers) Watches(now time.Duration, served bool) bool {
+	others := w.others(now)
+	if len(others) < w.set.Count {
+		if w.lacking < 0 {
+			w.lacking = now
+		}
+		if now-w.lacking >= w.delay() {
+			w.watching = true
+		}
+		return w.watching
+	}
+	w.lacking = -1
+	if w.watching && (!served || w.preceded(others)) {
+		w.watching = false
+	}
+	return w.watching
+}
+
+// others returns the other hosts that the store serves.
+func (w *Watchers) others(now time.Duration) []uint64 {
+	var out []uint64
+	for h, at := range w.served {
+		if now-at >= w.set.Lost {
+			delete(w.served, h)
+			continue
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// delay returns how long this host lets others go before.
+func (w *Watchers) delay() time.Duration {
+	return min(time.Duration(w.rank(w.hosts))*w.set.Step, w.set.MaxDelay)
+}
+
+// preceded reports whether enough of the hosts come before this one.
+func (w *Watchers) preceded(hosts []uint64) bool { return w.rank(hosts) >= w.set.Count }
+
+// rank returns how many of the hosts come before this one in the order.
+func (w *Watchers) rank(hosts []uint64) int {
+	n := 0
+	own := rendez.Score(watchKey, w.self)
+	for _, h := range hosts {
+		if h != w.self && rendez.Score(watchKey, h) > own {
+			n++
+		}
+	}
+	return n
+}
