--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -69,6 +69,8 @@
 	documentAt uint64
 	rebuild    *time.Timer
 	peers      *peers
+	// viewed tells that the traffic loop has begun.
+	viewed bool
 }
 
 type decodedServer struct {
@@ -134,11 +136,21 @@
 	c.host.log.Info("control: view", zap.Uint64("version", view.Version), zap.Uint64("revision", view.Revision),
 		zap.Int("servers", len(servers)), zap.Int("routes", len(view.Routes)))
 	c.host.published.Store(&published{view: view, confirmed: now - c.replica.Age(now)})
+	c.firstView(view)
 	if next := c.builder.Next(); next > 0 {
 		c.rebuild.Reset(max(0, next-now) + time.Millisecond)
 	}
 }
 
+// firstView lets the traffic begin when the operators' document is known.
+func (c *control) firstView(view *fleet.View) {
+	if c.viewed || view.Version == 0 {
+		return
+	}
+	c.viewed = true
+	close(c.host.viewed)
+}
+
 // publish tells the traffic loop the age of the view.
 func (c *control) publish(now time.Duration) {
 	p := c.host.published.Load()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -71,13 +71,15 @@
 	// that the store served its latest call.
 	watch, served, storeAway atomic.Bool
 	leaving                  atomic.Bool
+	// viewed is closed when the host has a view for callers.
+	viewed chan struct{}
 	// stopped is closed when the control loop ends.
 	stopped chan struct{}
 }
 
 // New opens the host's sockets.
 func New(set *Settings, log *zap.Logger) (*Host, error) {
-	h := &Host{set: set, log: log, epoch: time.Now(), do: make(chan func(*control), controlQueue), stopped: make(chan struct{})}
+	h := &Host{set: set, log: log, epoch: time.Now(), do: make(chan func(*control), controlQueue), viewed: make(chan struct{}), stopped: make(chan struct{})}
 	var err error
 	if h.ready, err = net.Listen("tcp4", set.Ready.String()); err != nil {
 		return nil, eris.Wrap(err, "listen for readiness checks")
@@ -145,7 +147,7 @@
 	})
 	group.Go(c.peers.readLoop)
 	group.Go(func() { h.watchLoop(run) })
-	group.Go(h.traffic.loop)
+	group.Go(func() { h.traffic.loop(h.viewed) })
 	for i, l := range []net.Listener{h.ready, h.peerWeb} {
 		group.Go(func() {
 			if err := servers[i].Serve(l); err != http.ErrServerClosed {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -36,6 +36,8 @@
 	socketBuffer = 1 << 20
 	// reasonCount is more than there are reasons.
 	reasonCount = 16
+	// maxHold is how long packets wait for the first view.
+	maxHold = time.Second
 	// freshness is how old the view may be for a refusal of an unknown route.
 	freshness = 3 * time.Second
 )
@@ -92,8 +94,18 @@
 	return t, nil
 }
 
-// loop forwards packets until the socket is closed.
-func (t *traffic) loop() {
+// loop forwards packets until the socket is closed. Before the host knows a
+// view, packets wait in the socket, but not longer than a caller waits for an
+// answer.
+func (t *traffic) loop(viewed <-chan struct{}) {
+	for waiting := true; waiting; {
+		select {
+		case <-viewed:
+			waiting = false
+		case <-time.After(maxHold):
+			t.discard()
+		}
+	}
 	for {
 		t.setDeadline()
 		n, err := t.reader.Wait()
@@ -114,6 +126,18 @@
 	}
 }
 
+// discard drops the packets that wait in the socket.
+func (t *traffic) discard() {
+	for {
+		n, err := t.reader.Poll()
+		if err != nil || n == 0 {
+			return
+		}
+		t.counters.Received.Add(uint64(n))
+		t.counters.Dropped[steer.NoView].Add(uint64(n))
+	}
+}
+
 func (t *traffic) now() time.Duration { return time.Since(t.epoch) }
 
 // setDeadline ends the wait for packets when a SYN is due for another server.
