--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -135,7 +135,7 @@
 	view := c.builder.Build(now, c.replica.Revision(), c.document, servers)
 	c.host.log.Info("control: view", zap.Uint64("version", view.Version), zap.Uint64("revision", view.Revision),
 		zap.Int("servers", len(servers)), zap.Int("routes", len(view.Routes)))
-	c.host.published.Store(&published{view: view, confirmed: now - c.replica.Age(now)})
+	c.put(now, view)
 	c.firstView(view)
 	if next := c.builder.Next(); next > 0 {
 		c.rebuild.Reset(max(0, next-now) + time.Millisecond)
@@ -157,7 +157,11 @@
 	if p == nil {
 		return
 	}
-	c.host.published.Store(&published{view: p.view, confirmed: now - c.replica.Age(now)})
+	c.put(now, p.view)
+}
+
+func (c *control) put(now time.Duration, v *fleet.View) {
+	c.host.published.Store(&published{view: v, confirmed: now - c.replica.Age(now), hosts: 1 + len(c.peers.known)})
 }
 
 // decode reads an item, unless that was done before.
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -44,8 +44,8 @@
 
 // Counters count what the traffic loop did since the start.
 type Counters struct {
-	Received, Forwarded, Malformed, Resent, Refused, Unsent, Held atomic.Uint64
-	Dropped                                                       [reasonCount]atomic.Uint64
+	Received, Forwarded, Malformed, Resent, Refused, Unsent, Held, Flows atomic.Uint64
+	Dropped                                                              [reasonCount]atomic.Uint64
 }
 
 // traffic forwards packets. All but the counters and the view belongs to its
@@ -71,6 +71,8 @@
 	view *fleet.View
 	// confirmed is when the view was known to be current.
 	confirmed time.Duration
+	// hosts is how many hosts share the servers.
+	hosts int
 }
 
 func newTraffic(set *Settings, epoch time.Time, view *atomic.Pointer[published], log *decisionLog) (*traffic, error) {
@@ -164,7 +166,7 @@
 	t.lastAt.Store(int64(now))
 	t.counters.Received.Add(uint64(n))
 	t.counters.Unsent.Store(t.writer.Failed)
-	t.counters.Held.Store(uint64(t.table.Held()))
+	t.counters.Flows.Store(uint64(t.table.Held()))
 }
 
 func (t *traffic) refresh(now time.Duration) {
@@ -175,6 +177,7 @@
 	if t.current == nil || p.view != t.current.view {
 		t.table.SetView(now, p.view)
 	}
+	t.table.SetHosts(p.hosts)
 	t.current = p
 }
 
@@ -195,6 +198,8 @@
 		t.log.forwarded(now, &p, v.Server, t.current)
 	case steer.Refuse:
 		t.refuse(now, &p, v.Reason)
+	case steer.Hold:
+		t.counters.Held.Add(1)
 	case steer.Drop:
 		t.counters.Dropped[v.Reason].Add(1)
 		t.log.dropped(now, &p, v.Reason, t.current)
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -40,6 +40,8 @@
 	Forward
 	// Refuse: the caller gets a reset, since its flow cannot be opened.
 	Refuse
+	// Hold: the packet waits at the Table, which returns it by Due.
+	Hold
 )
 
 // Reason says why a packet was dropped or refused.
@@ -72,12 +74,12 @@
 	Reason Reason
 }
 
-// Resend is a SYN that goes to another server, since the server that had it
-// first did not answer.
+// Resend is a SYN that was kept and goes to a server now: to another one, since
+// the first did not answer, or to its first one after it was held.
 type Resend struct {
 	Key    Key
 	Server *fleet.Server
-	// Silent is the server that did not answer.
+	// Silent is the server that did not answer; nil if the SYN was held.
 	Silent *fleet.Server
 	// Opening is the SYN as it was received. It is valid until the next call
 	// of the Table.
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -41,8 +41,10 @@
 
 // Table decides for the packets that one host receives.
 type Table struct {
-	set     Settings
-	view    *fleet.View
+	set  Settings
+	view *fleet.View
+	// hosts is how many hosts share the servers, this one included.
+	hosts   int
 	flows   map[Key]*flow
 	free    *flow
 	servers map[uint32]*Health
@@ -66,6 +68,8 @@
 	// sentAt is when the SYN went to the latest server and lastAt when the
 	// latest packet came.
 	sentAt, lastAt time.Duration
+	// holdEnd is until when the SYN may be held.
+	holdEnd time.Duration
 	// busy is the mark of the server that is taken to work for the flow, or 0.
 	busy uint32
 	// asked tells that a request waits for its answer, since askedAt, when the
@@ -100,7 +104,7 @@
 		set.ForgetSplit = defaultForgetSplit
 	}
 	return &Table{
-		set: set, flows: map[Key]*flow{}, servers: map[uint32]*Health{}, centres: map[string]*estimator{},
+		set: set, hosts: 1, flows: map[Key]*flow{}, servers: map[uint32]*Health{}, centres: map[string]*estimator{},
 	}
 }
 
@@ -158,6 +162,9 @@
 	}
 	if len(t.flows) < t.set.MaxFlows && len(raw) <= maxOpening {
 		f = t.newFlow(p, service, raw)
+		if t.holds(now, f, p.Copy) {
+			return Verdict{Action: Hold}
+		}
 		t.send(now, f, s)
 	}
 	return Verdict{Action: Forward, Server: s}
@@ -166,6 +173,9 @@
 // synCopy sends a copy of a SYN where the latest one went.
 func (t *Table) synCopy(now time.Duration, f *flow) Verdict {
 	f.lastAt = now
+	if f.tries == 0 {
+		return Verdict{Action: Hold}
+	}
 	m := f.pinned
 	if m == 0 {
 		m = f.tried[f.tries-1]
@@ -214,7 +224,7 @@
 // observe learns from a packet of a remembered flow, which goes to server s.
 func (t *Table) observe(now time.Duration, f *flow, p *Packet, s *fleet.Server) {
 	f.lastAt = now
-	if f.pinned == 0 {
+	if f.pinned == 0 && f.tries > 0 {
 		t.open(now, f, s)
 	}
 	if p.Length > 0 && !f.asked {
@@ -303,7 +313,12 @@
 		if f.serial != e.serial || f.pinned != 0 || f.ended {
 			continue
 		}
-		if r, ok = t.resend(now, f); ok {
+		if f.tries == 0 {
+			r, ok = t.release(now, f)
+		} else {
+			r, ok = t.resend(now, f)
+		}
+		if ok {
 			return r, true
 		}
 	}
