Add metrics, status, time line and logs that never block; a stand-in of the platform

Cause: operators of the platform's hosts saw nothing; lines went to the output directly and could block. Change: internal/logs, /metrics with latency histograms, /api/status and /api/events as elsewhere, the request's ID in lines; platform/stub speaks the store, routers, callers and servers for tests and the soak.

--- a/cmd/lagoonramp/serve.go
+++ b/cmd/lagoonramp/serve.go
@@ -12,6 +12,7 @@
 
 	"lagoonramp.org/lagoonramp/internal/entry"
 	"lagoonramp.org/lagoonramp/internal/host"
+	"lagoonramp.org/lagoonramp/internal/logs"
 	"lagoonramp.org/lagoonramp/internal/setup"
 	"lagoonramp.org/lagoonramp/platform"
 )
@@ -35,12 +36,13 @@
 	if err != nil {
 		return cli.Exit(err.Error(), exitUsage)
 	}
-	log, err := newLog(set.Log)
+	sink := logs.NewSink(os.Stdout)
+	defer sink.Close()
+	log, err := logs.New(sink, set.Log.Level, set.Log.Format)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }()
-	h, err := newHost(set, log)
+	h, err := newHost(set, log, sink)
 	if err != nil {
 		return err
 	}
@@ -70,7 +72,7 @@
 }
 
 // newHost makes the host that the settings ask for.
-func newHost(set *setup.Settings, log *zap.Logger) (runner, error) {
+func newHost(set *setup.Settings, log *zap.Logger, sink *logs.Sink) (runner, error) {
 	if set.Marked == nil {
 		return host.New(set, log)
 	}
@@ -80,6 +82,7 @@
 		Packets: netip.MustParseAddrPort(m.Packets), Ready: netip.MustParseAddrPort(m.Ready),
 		Peer: netip.MustParseAddrPort(m.Peer), Seeds: m.SeedAddresses(),
 		FlowLifetime: m.FlowLifetimeOr(), Grace: m.GraceOr(),
+		Admin: m.Admin, LinesDropped: sink.Dropped,
 		Codec: platform.Codec{}, Store: platform.NewStore(m.Store), Decoder: platform.Decoder{},
 		ReadinessHandler: platform.ReadinessHandler,
 	}, log)
@@ -96,19 +99,3 @@
 		log.Info("serve: the settings were read again; changed ones are in force after a restart")
 	}
 }
-
-// newLog returns a log as the settings ask for. Repeated lines are sampled.
-func newLog(l setup.Log) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.TimeKey = "at"
-	if l.Format == "console" {
-		cfg.Encoding = "console"
-	}
-	if l.Level != "" {
-		if err := cfg.Level.UnmarshalText([]byte(l.Level)); err != nil {
-			return nil, err
-		}
-	}
-	return cfg.Build()
-}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 )
@@ -69,6 +70,8 @@
 	documentAt uint64
 	rebuild    *time.Timer
 	peers      *peers
+	// version is that of the document in force.
+	version uint64
 	// viewed tells that the traffic loop has begun.
 	viewed bool
 }
@@ -132,7 +135,11 @@
 func (c *control) build(now time.Duration) {
 	servers := map[string]*fleet.Server{}
 	c.replica.Items(func(i mirror.Item) { c.decode(i, servers) })
+	former := c.version
 	view := c.builder.Build(now, c.replica.Revision(), c.document, servers)
+	if c.version = view.Version; c.version != former {
+		c.host.events.Add(event.Event{Kind: event.Adopted, Revision: view.Version})
+	}
 	c.host.log.Info("control: view", zap.Uint64("version", view.Version), zap.Uint64("revision", view.Revision),
 		zap.Int("servers", len(servers)), zap.Int("routes", len(view.Routes)))
 	c.put(now, view)
@@ -148,6 +155,7 @@
 		return
 	}
 	c.viewed = true
+	c.host.events.Add(event.Event{Kind: event.Ready, Revision: view.Version})
 	close(c.host.viewed)
 }
 
@@ -241,6 +249,7 @@
 func (h *Host) follow(ctx context.Context, grace time.Duration) (changed bool, err error) {
 	revision := h.revision.Load()
 	at := h.now()
+	h.storeCalls.Add(1)
 	d := &mirror.Delta{Whole: revision == 0 || h.whole.Load()}
 	if d.Whole {
 		d.Items, d.Revision, err = h.set.Store.Read(ctx)
@@ -264,7 +273,9 @@
 
 func (h *Host) storeLost(err error) {
 	h.served.Store(false)
+	h.storeErrors.Add(1)
 	if !h.storeAway.Swap(true) {
+		h.events.Add(event.Event{Kind: event.PlatformDown, Cause: err.Error()})
 		h.log.Warn("watch: the store is lost", zap.Error(err))
 	}
 }
@@ -272,6 +283,7 @@
 func (h *Host) storeBack() {
 	h.served.Store(true)
 	if h.storeAway.Swap(false) {
+		h.events.Add(event.Event{Kind: event.PlatformBack, Revision: h.revision.Load()})
 		h.log.Info("watch: the store is back", zap.Uint64("revision", h.revision.Load()))
 	}
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 )
@@ -26,6 +27,8 @@
 	Ready netip.AddrPort
 	// Peer takes the requests of other hosts.
 	Peer netip.AddrPort
+	// Admin takes the requests of operators, as IP:port; empty for none.
+	Admin string
 	// Seeds are hosts to ask before the store names others.
 	Seeds []netip.AddrPort
 	// FlowLifetime is how long a flow may last.
@@ -33,6 +36,9 @@
 	// Grace is how long the process has after it was told to stop.
 	Grace time.Duration
 
+	// LinesDropped returns how many lines of the log were dropped.
+	LinesDropped func() uint64
+
 	Codec   Codec
 	Store   Store
 	Decoder Decoder
@@ -48,22 +54,29 @@
 	quietFor = 400 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 1500 * time.Millisecond
+	// peerIdle is how long an unused connection to a peer is kept.
+	peerIdle = 5 * time.Second
 	// controlQueue bounds what waits for the control loop.
 	controlQueue = 256
 )
 
 // Host is one entry host.
 type Host struct {
-	set       *Settings
-	log       *zap.Logger
-	epoch     time.Time
-	traffic   *traffic
+	set     *Settings
+	log     *zap.Logger
+	events  *event.Ring
+	client  *http.Client
+	epoch   time.Time
+	traffic *traffic
+	// published is what the traffic loop forwards by.
 	published atomic.Pointer[published]
 	// do hands work to the control loop.
 	do       chan func(*control)
 	ready    net.Listener
 	peerWeb  net.Listener
+	adminWeb net.Listener
 	peerConn *net.UDPConn
+	// revision is that of the control loop's replica.
 	revision atomic.Uint64
 	// whole asks the watch loop to read the whole state.
 	whole atomic.Bool
@@ -71,6 +84,9 @@
 	// that the store served its latest call.
 	watch, served, storeAway atomic.Bool
 	leaving                  atomic.Bool
+
+	storeCalls, storeErrors, fetches, digestsSent atomic.Uint64
+
 	// viewed is closed when the host has a view for callers.
 	viewed chan struct{}
 	// stopped is closed when the control loop ends.
@@ -79,21 +95,54 @@
 
 // New opens the host's sockets.
 func New(set *Settings, log *zap.Logger) (*Host, error) {
-	h := &Host{set: set, log: log, epoch: time.Now(), do: make(chan func(*control), controlQueue), viewed: make(chan struct{}), stopped: make(chan struct{})}
+	h := &Host{
+		set: set, log: log, epoch: time.Now(), events: event.NewRing(set.Name, set.DataCentre),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle}},
+		do:     make(chan func(*control), controlQueue), viewed: make(chan struct{}), stopped: make(chan struct{}),
+	}
+	if err := h.openSockets(); err != nil {
+		h.closeSockets()
+		return nil, err
+	}
+	return h, nil
+}
+
+// openSockets opens every socket, that of the callers' packets first: packets
+// wait in it until the host knows a view.
+func (h *Host) openSockets() error {
 	var err error
-	if h.ready, err = net.Listen("tcp4", set.Ready.String()); err != nil {
-		return nil, eris.Wrap(err, "listen for readiness checks")
+	if h.traffic, err = newTraffic(h.set, h.epoch, &h.published, newDecisionLog(h.log)); err != nil {
+		return err
 	}
-	if h.peerWeb, err = net.Listen("tcp4", set.Peer.String()); err != nil {
-		return nil, eris.Wrap(err, "listen for peers' requests")
+	if h.ready, err = net.Listen("tcp4", h.set.Ready.String()); err != nil {
+		return eris.Wrap(err, "listen for readiness checks")
 	}
-	if h.peerConn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(set.Peer)); err != nil {
-		return nil, eris.Wrap(err, "listen for peers' datagrams")
+	if h.peerWeb, err = net.Listen("tcp4", h.set.Peer.String()); err != nil {
+		return eris.Wrap(err, "listen for peers' requests")
 	}
-	if h.traffic, err = newTraffic(set, h.epoch, &h.published, newDecisionLog(log)); err != nil {
-		return nil, err
+	if h.peerConn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.set.Peer)); err != nil {
+		return eris.Wrap(err, "listen for peers' datagrams")
+	}
+	if h.set.Admin == "" {
+		return nil
+	}
+	h.adminWeb, err = net.Listen("tcp4", h.set.Admin)
+	return eris.Wrap(err, "listen for operators")
+}
+
+// closeSockets closes what is open.
+func (h *Host) closeSockets() {
+	if h.traffic != nil {
+		_ = h.traffic.conn.Close()
+	}
+	if h.peerConn != nil {
+		_ = h.peerConn.Close()
+	}
+	for _, l := range []net.Listener{h.ready, h.peerWeb, h.adminWeb} {
+		if l != nil {
+			_ = l.Close()
+		}
 	}
-	return h, nil
 }
 
 // call runs f in the control loop and waits for it.
@@ -130,6 +179,7 @@
 func (h *Host) Run(ctx, hard context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	h.events.Add(event.Event{Kind: event.Started})
 	h.log.Info("entry: started", zap.String("name", h.set.Name), zap.String("dataCentre", h.set.DataCentre))
 	c := &control{
 		host: h, replica: mirror.New(mirror.Settings{}), decoded: map[string]decodedServer{},
@@ -137,9 +187,13 @@
 	}
 	c.peers = newPeers(h, h.peerConn)
 	h.watch.Store(true)
-	web := http.NewServeMux()
-	web.HandleFunc("GET /state", h.stateHandler)
-	servers := []*http.Server{{Handler: h.set.ReadinessHandler(h.isReady)}, {Handler: web}}
+	servers := map[net.Listener]*http.Server{
+		h.ready:   {Handler: h.set.ReadinessHandler(h.isReady)},
+		h.peerWeb: {Handler: h.peerHandler()},
+	}
+	if h.adminWeb != nil {
+		servers[h.adminWeb] = &http.Server{Handler: h.adminHandler()}
+	}
 	var group sync.WaitGroup
 	group.Go(func() {
 		defer close(h.stopped)
@@ -148,9 +202,9 @@
 	group.Go(c.peers.readLoop)
 	group.Go(func() { h.watchLoop(run) })
 	group.Go(func() { h.traffic.loop(h.viewed) })
-	for i, l := range []net.Listener{h.ready, h.peerWeb} {
+	for l, server := range servers {
 		group.Go(func() {
-			if err := servers[i].Serve(l); err != http.ErrServerClosed {
+			if err := server.Serve(l); err != http.ErrServerClosed {
 				h.log.Error("entry: requests are not answered any more", zap.Stringer("address", l.Addr()), zap.Error(err))
 			}
 		})
@@ -164,10 +218,10 @@
 	for _, s := range servers {
 		_ = s.Close()
 	}
-	_ = h.peerConn.Close()
-	_ = h.traffic.conn.Close()
+	h.closeSockets()
 	h.set.Store.Close()
 	group.Wait()
+	h.events.Add(event.Event{Kind: event.Stopped})
 	h.log.Info("entry: stopped", zap.String("name", h.set.Name))
 	return nil
 }
@@ -175,6 +229,7 @@
 // leave goes on forwarding until the routers have turned away.
 func (h *Host) leave(hard context.Context) {
 	h.leaving.Store(true)
+	h.events.Add(event.Event{Kind: event.Stopping, Cause: "asked to stop"})
 	h.log.Info("entry: leaving, not ready any more")
 	pause(hard, leaveFor)
 	end := time.Now().Add(h.set.Grace - leaveFor - stopMargin)
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -21,7 +21,9 @@
 	// ordinaryLines and unusualLines are how many lines of a kind are written
 	// a second.
 	ordinaryLines = 2
-	unusualLines  = 50
+	unusualLines  = 20
+	// slowAnswer is how long an answer takes that is noted.
+	slowAnswer = 500 * time.Millisecond
 )
 
 func newDecisionLog(log *zap.Logger) *decisionLog {
@@ -52,12 +54,25 @@
 	return zap.String(key, s.ID)
 }
 
-func (l *decisionLog) forwarded(now time.Duration, p *steer.Packet, s *fleet.Server, by *published) {
-	if !p.Syn {
+// asked notes where a request goes. A request whose SYN went to more than one
+// server is unusual.
+func (l *decisionLog) asked(now time.Duration, p *steer.Packet, v *steer.Verdict, by *published, id func() string) {
+	log := l.ordinary
+	if v.Tries > 1 {
+		log = l.unusual
+	}
+	if e := log.Check(zap.InfoLevel, "traffic: request forwarded"); e != nil {
+		e.Write(append(flowFields(now, p.Key, by), zap.String("request", id()), serverField("server", v.Server), zap.Int("tries", v.Tries))...)
+	}
+}
+
+// answered notes an answer that took long.
+func (l *decisionLog) answered(now time.Duration, p *steer.Packet, v *steer.Verdict, by *published) {
+	if v.Answer < slowAnswer {
 		return
 	}
-	if e := l.ordinary.Check(zap.InfoLevel, "traffic: flow opened"); e != nil {
-		e.Write(append(flowFields(now, p.Key, by), serverField("server", s), zap.Int("copy", p.Copy))...)
+	if e := l.unusual.Check(zap.InfoLevel, "traffic: slow answer"); e != nil {
+		e.Write(append(flowFields(now, p.Key, by), serverField("server", v.Server), zap.Duration("took", v.Answer))...)
 	}
 }
 
@@ -74,6 +89,9 @@
 }
 
 func (l *decisionLog) resent(now time.Duration, r *steer.Resend, by *published) {
+	if r.Silent == nil {
+		return // The SYN was held, which is counted.
+	}
 	if e := l.unusual.Check(zap.WarnLevel, "traffic: server silent, SYN sent to another"); e != nil {
 		e.Write(append(flowFields(now, r.Key, by), serverField("silent", r.Silent), serverField("server", r.Server))...)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 	"lagoonramp.org/lagoonramp/pkg/spread"
@@ -37,6 +38,9 @@
 	maxAge = 2500 * time.Millisecond
 	// forgetPeer is how long a host without a message stays known.
 	forgetPeer = 2 * time.Minute
+	// staleDigest is the age of a host's latest digest above which operators
+	// are told that the host is silent.
+	staleDigest = 15 * time.Second
 	// maxDigest bounds a digest in bytes, so that it fits a datagram.
 	maxDigest = 1200
 	// maxKnown is how many other hosts a digest names.
@@ -82,13 +86,15 @@
 	id      uint64
 	address netip.AddrPort
 	heardAt time.Duration
+	// name and revision are what its latest digest said.
+	name     string
+	revision uint64
 }
 
 // peers belongs to the control loop.
 type peers struct {
 	host     *Host
 	conn     *net.UDPConn
-	client   *http.Client
 	machine  *spread.Machine
 	watchers *spread.Watchers
 	// known holds the other hosts by the hash of their address.
@@ -105,7 +111,6 @@
 	self := peerID(h.set.Peer)
 	p := &peers{
 		host: h, conn: conn, known: map[uint64]*peer{}, announceAt: firstAnnounce + rand.N(firstAnnounce),
-		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 		machine:  spread.New(self, spread.Settings{FetchTimeout: fetchTimeout}, rand.New(rand.NewPCG(rand.Uint64(), self))),
 		watchers: spread.NewWatchers(self, spread.WatchersSettings{}),
 	}
@@ -151,7 +156,11 @@
 		p.setHosts()
 	}
 	from := p.known[peerID(a)]
-	from.heardAt = now
+	if from.name == "" {
+		p.host.log.Info("peers: host joined", zap.String("peer", d.From), zap.Stringer("address", a))
+		p.host.events.Add(event.Event{Kind: event.Joined, Peer: d.From})
+	}
+	from.heardAt, from.name, from.revision = now, d.From, d.Revision
 	p.watchers.Heard(now, from.id, d.Served)
 	if len(d.Items) > 0 && c.replica.Loaded() && c.replica.Revision() >= d.Since {
 		c.take(update{delta: &mirror.Delta{Revision: d.Revision, Items: d.Items}, source: d.From})
@@ -205,6 +214,8 @@
 func (p *peers) tellAll(now time.Duration, d *digest) {
 	for id, other := range p.known {
 		if now-other.heardAt > forgetPeer {
+			p.host.log.Info("peers: host forgotten", zap.String("peer", other.name), zap.Stringer("address", other.address))
+			p.host.events.Add(event.Event{Kind: event.Lost, Peer: other.name, Cause: "no message for a long time"})
 			delete(p.known, id)
 			continue
 		}
@@ -242,6 +253,7 @@
 		b, err = json.Marshal(&short)
 	}
 	if err == nil {
+		p.host.digestsSent.Add(1)
 		_, err = p.conn.WriteToUDPAddrPort(b, to)
 	}
 	if err != nil {
@@ -254,13 +266,14 @@
 	if f == nil || p.known[f.Peer] == nil {
 		return
 	}
-	go p.host.runFetch(p.client, *f, p.known[f.Peer].address)
+	go p.host.runFetch(*f, p.known[f.Peer].address)
 }
 
 // runFetch asks a peer for its state and hands it to the control loop.
-func (h *Host) runFetch(client *http.Client, f spread.Fetch, from netip.AddrPort) {
+func (h *Host) runFetch(f spread.Fetch, from netip.AddrPort) {
 	started := h.now()
-	d, err := fetchState(client, from, h.revision.Load())
+	h.fetches.Add(1)
+	d, err := fetchState(h.client, from, h.revision.Load())
 	h.post(func(c *control) {
 		if err != nil {
 			h.log.Warn("peers: a state was not fetched", zap.Stringer("peer", from), zap.Error(err))
@@ -312,10 +325,7 @@
 		http.Error(w, "the host knows no state yet", http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(&d); err != nil {
-		h.log.Debug("peers: a state was not given", zap.Error(err))
-	}
+	h.writeJSON(w, &d)
 }
 
 // readLoop takes digests until the socket is closed.
@@ -373,6 +383,7 @@
 func (h *Host) runAnnounce(r hostRecord) {
 	value, err := json.Marshal(&r)
 	if err == nil {
+		h.storeCalls.Add(2)
 		err = h.set.Store.Announce(context.Background(), hostRecords+h.set.Name, value, announceTTL)
 	}
 	if err != nil {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
 	"lagoonramp.org/lagoonramp/internal/batch"
@@ -24,6 +25,8 @@
 	SetMark(raw []byte, mark uint32)
 	// SetFrame writes the frame before a packet, which names its server.
 	SetFrame(frame []byte, token uint64)
+	// RequestID returns the ID of the request that a packet begins, or "".
+	RequestID(raw []byte) string
 	// AppendReset appends a reset for a caller.
 	AppendReset(b []byte, k steer.Key) []byte
 	// MaxPacket and FrameLength are lengths in bytes.
@@ -36,6 +39,9 @@
 	socketBuffer = 1 << 20
 	// reasonCount is more than there are reasons.
 	reasonCount = 16
+	// reportEvery is how often the servers' state is put together for
+	// operators.
+	reportEvery = time.Second
 	// maxHold is how long packets wait for the first view.
 	maxHold = time.Second
 	// freshness is how old the view may be for a refusal of an unknown route.
@@ -61,6 +67,13 @@
 	current  *published
 	counters Counters
 	lastAt   atomic.Int64
+	// report is what the table knows of the servers, made anew when reportAt
+	// has come.
+	report   atomic.Pointer[[]steer.ServerReport]
+	reportAt time.Duration
+	// metrics holds the histograms.
+	metrics             *metrics.Set
+	handshakes, answers *metrics.Histogram
 	// resets and resent hold what is sent until the flush.
 	resets, resent []byte
 	log            *decisionLog
@@ -82,7 +95,9 @@
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
-	t := &traffic{codec: set.Codec, conn: conn, epoch: epoch, view: view, log: log}
+	t := &traffic{codec: set.Codec, conn: conn, epoch: epoch, view: view, log: log, metrics: metrics.NewSet()}
+	t.handshakes = t.metrics.NewHistogram("lagoonramp_handshake_seconds")
+	t.answers = t.metrics.NewHistogram("lagoonramp_answer_seconds")
 	if t.reader, err = batch.NewReader(conn, set.Codec.MaxPacket()+1, set.Codec.FrameLength()); err != nil {
 		return nil, err
 	}
@@ -167,6 +182,11 @@
 	t.counters.Received.Add(uint64(n))
 	t.counters.Unsent.Store(t.writer.Failed)
 	t.counters.Flows.Store(uint64(t.table.Held()))
+	if now >= t.reportAt {
+		t.reportAt = now + reportEvery
+		r := t.table.Report(now)
+		t.report.Store(&r)
+	}
 }
 
 func (t *traffic) refresh(now time.Duration) {
@@ -194,8 +214,8 @@
 	v := t.table.Packet(now, &p, raw)
 	switch v.Action {
 	case steer.Forward:
+		t.note(now, &p, &v, raw)
 		t.forward(framed, v.Server)
-		t.log.forwarded(now, &p, v.Server, t.current)
 	case steer.Refuse:
 		t.refuse(now, &p, v.Reason)
 	case steer.Hold:
@@ -206,6 +226,20 @@
 	}
 }
 
+// note counts and logs what a forwarded packet told of its flow.
+func (t *traffic) note(now time.Duration, p *steer.Packet, v *steer.Verdict, raw []byte) {
+	if v.Handshake > 0 {
+		t.handshakes.Update(v.Handshake.Seconds())
+	}
+	if v.Answer > 0 {
+		t.answers.Update(v.Answer.Seconds())
+		t.log.answered(now, p, v, t.current)
+	}
+	if v.Asked {
+		t.log.asked(now, p, v, t.current, func() string { return t.codec.RequestID(raw) })
+	}
+}
+
 func (t *traffic) forward(framed []byte, s *fleet.Server) {
 	t.codec.SetMark(framed[t.codec.FrameLength():], s.Mark)
 	t.codec.SetFrame(framed, s.Token)
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -72,6 +72,10 @@
 	Connections int `json:"connections"`
 	// Quarantined tells that the address belonged to another service.
 	Quarantined bool `json:"quarantined,omitempty"`
+	// Suspect tells that the server does not answer this host, and Warming
+	// that it is still slow after its start.
+	Suspect bool `json:"suspect,omitempty"`
+	Warming bool `json:"warming,omitempty"`
 }
 
 // ClusterStatus is all hosts as seen from one.
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -1,9 +1,6 @@
 package steer
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 const (
 	// holdStep is how often a held SYN is looked at.
@@ -27,7 +24,7 @@
 	}
 	f.lastAt = now
 	f.holdEnd = now + maxHold
-	heap.Push(&t.due, dueEntry{at: now + holdStep, flow: f, serial: f.serial})
+	t.due.push(dueEntry{at: now + holdStep, flow: f, serial: f.serial})
 	return true
 }
 
@@ -35,7 +32,7 @@
 // enough.
 func (t *Table) release(now time.Duration, f *flow) (Resend, bool) {
 	if now < f.holdEnd && t.saturated(f.service) {
-		heap.Push(&t.due, dueEntry{at: now + holdStep, flow: f, serial: f.serial})
+		t.due.push(dueEntry{at: now + holdStep, flow: f, serial: f.serial})
 		return Resend{}, false
 	}
 	s := t.choose(now, f.service, nil)
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 )
@@ -72,6 +73,16 @@
 	// Server is where the packet goes; nil unless Action is Forward.
 	Server *fleet.Server
 	Reason Reason
+	// Handshake is how long the flow took to open, if the packet opened it at
+	// the first server that got its SYN.
+	Handshake time.Duration
+	// Asked tells that the packet begins a request, and Answer how long the
+	// request waited for the answer that the packet acknowledges.
+	Asked  bool
+	Answer time.Duration
+	// Tries is how many servers got the flow's SYN, 0 if the flow is not
+	// remembered.
+	Tries int
 }
 
 // Resend is a SYN that was kept and goes to a server now: to another one, since
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -193,10 +192,11 @@
 	if s == nil {
 		return Verdict{Reason: UnknownMark}
 	}
+	v := Verdict{Action: Forward, Server: s}
 	if f != nil {
-		t.observe(now, f, p, s)
+		t.observe(now, f, p, &v)
 	}
-	return Verdict{Action: Forward, Server: s}
+	return v
 }
 
 // marked returns the server of a packet after the SYN, or nil. A flow whose SYN
@@ -221,21 +221,26 @@
 	return s
 }
 
-// observe learns from a packet of a remembered flow, which goes to server s.
-func (t *Table) observe(now time.Duration, f *flow, p *Packet, s *fleet.Server) {
+// observe learns from a packet of a remembered flow, which goes to the server
+// of the verdict, and notes in the verdict what it learned.
+func (t *Table) observe(now time.Duration, f *flow, p *Packet, v *Verdict) {
 	f.lastAt = now
+	v.Tries = f.tries
 	if f.pinned == 0 && f.tries > 0 {
-		t.open(now, f, s)
+		v.Handshake = t.open(now, f, v.Server)
 	}
 	if p.Length > 0 && !f.asked {
 		f.asked = true
 		f.askedAt = now
 		f.askedAck = p.Ack
-		t.setBusy(f, s.Mark)
+		v.Asked = true
+		t.setBusy(f, v.Server.Mark)
 	}
 	if f.asked && int32(p.Ack-f.askedAck) > 0 {
 		f.asked = false
-		t.answered(now, f, s)
+		v.Answer = now - f.askedAt
+		t.reached(now, v.Server)
+		t.setBusy(f, 0)
 	}
 	if p.Fin || p.Reset {
 		f.ended = true
@@ -243,23 +248,24 @@
 	}
 }
 
-// open notes that a flow opened at a server.
-func (t *Table) open(now time.Duration, f *flow, s *fleet.Server) {
+// open notes that a flow opened at a server. It returns how long the handshake
+// took, if the server was the only one that got the SYN.
+func (t *Table) open(now time.Duration, f *flow, s *fleet.Server) time.Duration {
 	f.pinned = s.Mark
-	h := t.servers[s.Mark]
-	if h == nil {
-		return
-	}
-	h.reached(now)
+	t.reached(now, s)
+	t.setBusy(f, s.Mark)
+	took := now - f.sentAt
 	if f.tried[f.tries-1] == s.Mark {
-		t.centre(s.DataCentre).add(now - f.sentAt)
+		t.centre(s.DataCentre).add(took)
 	}
-	t.setBusy(f, s.Mark)
+	if f.tries > 1 {
+		return 0
+	}
+	return took
 }
 
-// answered notes that the answer to a flow's request began.
-func (t *Table) answered(now time.Duration, f *flow, s *fleet.Server) {
-	t.setBusy(f, 0)
+// reached notes that a server answered.
+func (t *Table) reached(now time.Duration, s *fleet.Server) {
 	if h := t.servers[s.Mark]; h != nil {
 		h.reached(now)
 	}
@@ -291,7 +297,7 @@
 		h.retryAt = now + maxRest
 	}
 	if f.tries < t.set.Tries {
-		heap.Push(&t.due, dueEntry{at: now + t.centre(s.DataCentre).wait(), flow: f, serial: f.serial})
+		t.due.push(dueEntry{at: now + t.centre(s.DataCentre).wait(), flow: f, serial: f.serial})
 	}
 }
 
@@ -308,7 +314,7 @@
 // that was paused does not take its own delay for the servers'.
 func (t *Table) Due(now time.Duration) (r Resend, ok bool) {
 	for len(t.due) > 0 && t.due[0].at <= now {
-		e := heap.Pop(&t.due).(dueEntry)
+		e := t.due.pop()
 		f := e.flow
 		if f.serial != e.serial || f.pinned != 0 || f.ended {
 			continue
@@ -378,24 +384,3 @@
 		}
 	}
 }
-
-// dueEntry is a flow whose SYN has to be acknowledged by a time.
-type dueEntry struct {
-	at     time.Duration
-	flow   *flow
-	serial uint32
-}
-
-type dueHeap []dueEntry
-
-func (h dueHeap) Len() int           { return len(h) }
-func (h dueHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *dueHeap) Push(x any)        { *h = append(*h, x.(dueEntry)) }
-func (h *dueHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	old[len(old)-1] = dueEntry{}
-	*h = old[:len(old)-1]
-	return e
-}
