Do not let a peer bring removed items back

Cause: a replica that read the whole state does not know what was written and removed before it, but gave peers the changes from an earlier revision on; a server that had left could stay in use at a peer. Change: changes are given only from the latest whole state on; a whole state is not passed on as changes.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -127,10 +127,19 @@
 	c.publish(now)
 	c.host.revision.Store(c.replica.Revision())
 	if c.replica.Revision() > before {
-		c.peers.adopted(now, before, u.delta.Items, c)
+		c.peers.adopted(now, before, changesIn(u.delta), c)
 	}
 }
 
+// changesIn returns the changes that a peer may apply. A whole state does not
+// tell what was removed, so the peer has to fetch it.
+func changesIn(d *mirror.Delta) []mirror.Item {
+	if d.Whole {
+		return nil
+	}
+	return d.Items
+}
+
 // build makes a view of the replica.
 func (c *control) build(now time.Duration) {
 	servers := map[string]*fleet.Server{}
--- /dev/null
+++ b/pkg/fleet/builder_test.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	deskRoute  = netip.MustParseAddrPort("198.18.0.1:443")
+	pressRoute = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+func server(id, service, address string, state State) *Server {
+	return &Server{ID: id, Token: 1, Service: service, Address: netip.MustParseAddrPort(address), Slots: 2, State: state}
+}
+
+func document(version uint64, desk string) *Document {
+	return &Document{Version: version, Routes: []Route{{Address: deskRoute, Targets: []Target{{Service: desk, Weight: 1}}}}}
+}
+
+func byID(servers ...*Server) map[string]*Server {
+	out := map[string]*Server{}
+	for _, s := range servers {
+		out[s.ID] = s
+	}
+	return out
+}
+
+// usable asserts which servers of a service take new flows.
+func usable(is *is.I, v *View, service string, want ...string) {
+	is.Helper()
+	var got []string
+	for _, s := range v.Usable[service] {
+		got = append(got, s.ID)
+	}
+	is.Equal(got, want)
+}
+
+func TestWhichServersTakeNewFlows(t *testing.T) {
+	a := server("a", "desk", "10.0.0.1:80", Ready)
+	draining := server("a", "desk", "10.0.0.1:80", Draining)
+	b := server("b", "desk", "10.0.0.2:80", Ready)
+	for _, tt := range []struct {
+		name string
+		// states are the store's states, a second apart.
+		states []map[string]*Server
+		want   []string
+	}{
+		{"ready ones", []map[string]*Server{byID(a, b)}, []string{"a", "b"}},
+		{"not draining ones", []map[string]*Server{byID(a, b), byID(draining, b)}, []string{"b"}},
+		{"not one that drained and left", []map[string]*Server{byID(a, b), byID(draining, b), byID(b)}, []string{"b"}},
+		{"one that lapsed just now", []map[string]*Server{byID(a, b), byID(b)}, []string{"a", "b"}},
+		{"not one that lapsed for longer", []map[string]*Server{byID(a, b), byID(b), byID(b), byID(b)}, []string{"b"}},
+		{"one that came back", []map[string]*Server{byID(a, b), byID(b), byID(b), byID(b), byID(a, b)}, []string{"a", "b"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			builder := NewBuilder(Settings{})
+			var v *View
+			for i, s := range tt.states {
+				v = builder.Build(time.Duration(i)*time.Second, uint64(i), document(1, "desk"), s)
+			}
+			usable(is, v, "desk", tt.want...)
+		})
+	}
+}
+
+func TestViewChangesWhenALapseIsOver(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{})
+	b.Build(0, 1, document(1, "desk"), byID(server("a", "desk", "10.0.0.1:80", Ready)))
+	b.Build(time.Second, 2, document(1, "desk"), nil)
+	is.Equal(b.Next(), 3*time.Second)
+	usable(is, b.Build(3*time.Second, 2, document(1, "desk"), nil), "desk")
+	is.Equal(b.Next(), time.Duration(0))
+}
+
+func TestServerOutlivesItsEntryForOpenFlows(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{FlowLifetime: time.Minute})
+	v := b.Build(0, 1, document(1, "desk"), byID(server("a", "desk", "10.0.0.1:80", Ready)))
+	m := v.Usable["desk"][0].Mark
+	is.Equal(b.Build(59*time.Second, 2, document(1, "desk"), nil).Marked[m].ID, "a")
+	is.Equal(b.Build(120*time.Second, 2, document(1, "desk"), nil).Marked[m], nil)
+}
+
+func TestAddressUsedAgainBelongsToTheLatestServer(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{})
+	old := server("old", "desk", "10.0.0.1:80", Ready)
+	old.Started = time.UnixMilli(1000)
+	next := server("next", "press", "10.0.0.1:80", Ready)
+	next.Started = time.UnixMilli(2000)
+	v := b.Build(0, 1, document(1, "desk"), byID(old, next))
+	usable(is, v, "desk")
+	usable(is, v, "press", "next")
+	is.Equal(len(v.Marked), 2)
+}
+
+func TestOpenFlowsOfAMovedRouteStayAllowed(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{FlowLifetime: time.Minute})
+	b.Build(0, 1, document(1, "desk"), nil)
+	v := b.Build(time.Second, 2, document(2, "press"), nil)
+	is.True(v.Routes[deskRoute].Allows("desk"))
+	is.True(v.Routes[deskRoute].Allows("press"))
+	is.True(!v.Routes[deskRoute].Allows("other"))
+	is.Equal(v.Routes[deskRoute].Targets[0].Service, "press")
+	v = b.Build(2*time.Minute, 2, document(2, "press"), nil)
+	is.True(!v.Routes[deskRoute].Allows("desk"))
+}
+
+func TestRemovedRouteTakesNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{FlowLifetime: time.Minute})
+	b.Build(0, 1, document(1, "desk"), nil)
+	empty := &Document{Version: 2}
+	v := b.Build(time.Second, 2, empty, nil)
+	is.Equal(len(v.Routes[deskRoute].Targets), 0)
+	is.True(v.Routes[deskRoute].Allows("desk"))
+	is.Equal(v.Routes[pressRoute], nil)
+	is.Equal(b.Build(2*time.Minute, 3, empty, nil).Routes[deskRoute], nil)
+}
+
+func TestWarmupCountsFromTheEntry(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{})
+	s := server("a", "desk", "10.0.0.1:80", Ready)
+	s.WarmFor = 2 * time.Second
+	v := b.Build(time.Second, 1, document(1, "desk"), byID(s))
+	is.Equal(v.Usable["desk"][0].WarmUntil, 3*time.Second)
+	again := *s
+	v = b.Build(2*time.Second, 2, document(1, "desk"), byID(&again))
+	is.Equal(v.Usable["desk"][0].WarmUntil, 3*time.Second)
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -143,9 +143,8 @@
 		}
 	}
 	changed := m.Apply(now, append(gone, items...), revision)
-	if !m.loaded {
-		m.floor = revision
-	}
+	// What was written and removed between the two revisions is not known.
+	m.floor = max(m.floor, revision)
 	m.loaded = true
 	return changed, nil
 }
--- /dev/null
+++ b/pkg/mirror/mirror_test.go
@@ -0,0 +1,135 @@
+package mirror
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// origin is the store's history, a slow and obvious reference.
+type origin struct {
+	events []Item
+}
+
+func (o *origin) write(rng *rand.Rand) {
+	i := Item{Key: fmt.Sprintf("k%d", rng.IntN(8)), Revision: uint64(len(o.events) + 1), Deleted: rng.IntN(3) == 0}
+	if !i.Deleted {
+		i.Value = fmt.Appendf(nil, "v%d", i.Revision)
+	}
+	o.events = append(o.events, i)
+}
+
+func (o *origin) revision() uint64 { return uint64(len(o.events)) }
+
+// state returns the items at a revision.
+func (o *origin) state(at uint64) map[string]Item {
+	out := map[string]Item{}
+	for _, e := range o.events[:at] {
+		if e.Deleted {
+			delete(out, e.Key)
+			continue
+		}
+		out[e.Key] = e
+	}
+	return out
+}
+
+func content(m *Mirror) map[string]Item {
+	out := map[string]Item{}
+	m.Items(func(i Item) { out[i.Key] = i })
+	return out
+}
+
+// TestReplicasFollowTheStore lets replicas learn from the store and from each
+// other in random order, with answers that come late and twice: a replica never
+// goes back, and is what the store was at its revision.
+func TestReplicasFollowTheStore(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			rng := rand.New(rand.NewPCG(seed, 2))
+			o := &origin{}
+			o.write(rng)
+			replicas := []*Mirror{New(Settings{Retain: 20 * time.Second}), New(Settings{}), New(Settings{})}
+			var late []Delta
+			for now := time.Duration(0); now < 200*time.Second; now += time.Second {
+				o.write(rng)
+				m := replicas[rng.IntN(len(replicas))]
+				before := m.Revision()
+				d := from(rng, o, m, replicas, now, &late)
+				if !d.Whole && (!m.Loaded() || d.after > before) {
+					continue // A part is only given to a replica that has what precedes it.
+				}
+				late = append(late, d.Delta)
+				if _, err := m.Take(now, &d.Delta); err != nil {
+					is.Equal(err, ErrBehind)
+				}
+				is.True(m.Revision() >= before) // The replica went back.
+				is.Equal(content(m), o.state(m.Revision()))
+			}
+		})
+	}
+}
+
+// given is a delta with the revision after which it is complete.
+type given struct {
+	Delta
+	after uint64
+}
+
+// from chooses a source for a replica and returns what it gives.
+func from(rng *rand.Rand, o *origin, m *Mirror, replicas []*Mirror, now time.Duration, late *[]Delta) given {
+	switch rng.IntN(5) {
+	case 0:
+		d := Delta{Whole: true, Revision: o.revision()}
+		for _, i := range o.state(o.revision()) {
+			d.Items = append(d.Items, i)
+		}
+		return given{Delta: d}
+	case 1:
+		if len(*late) > 0 {
+			old := (*late)[rng.IntN(len(*late))]
+			if old.Whole {
+				return given{Delta: old}
+			}
+		}
+	case 2, 3:
+		peer := replicas[rng.IntN(len(replicas))]
+		if peer.Loaded() {
+			return given{Delta: peer.Since(now, m.Revision()), after: m.Revision()}
+		}
+	}
+	after := m.Revision()
+	return given{Delta: Delta{Revision: o.revision(), Items: o.events[after:]}, after: after}
+}
+
+func TestAgeIsOfTheSourceNotOfTheCall(t *testing.T) {
+	is := is.New(t)
+	m := New(Settings{})
+	_, err := m.Take(0, &Delta{Whole: true, Revision: 5})
+	is.NoErr(err)
+	m.Confirm(5, 10*time.Second)
+	is.Equal(m.Age(12*time.Second), 2*time.Second)
+	m.Confirm(5, 8*time.Second) // Older news changes nothing.
+	is.Equal(m.Age(12*time.Second), 2*time.Second)
+	m.Confirm(7, 12*time.Second) // Somebody is ahead: this replica is not current.
+	is.Equal(m.Age(12*time.Second), 2*time.Second)
+}
+
+func TestPartForAnEmptyReplicaIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := New(Settings{}).Take(0, &Delta{Revision: 5, Items: []Item{{Key: "a", Revision: 5}}})
+	is.True(err != nil)
+}
+
+func ExampleMirror() {
+	m := New(Settings{})
+	_, _ = m.Load(0, []Item{{Key: "a", Value: []byte("1"), Revision: 3}}, 4)
+	m.Apply(time.Second, []Item{{Key: "a", Revision: 5, Deleted: true}}, 5)
+	_, there := m.Get("a")
+	fmt.Println(m.Revision(), there)
+	// Output: 5 false
+}
