Avoid slow servers by their answers' times; tell peers where split flows opened

Change: the time from a request to the first byte of its answer, relative to what is typical of the route, multiplies a server's cost; it fades, so that the server is tried again. Pins of split flows are told to peers when they open, when a host leaves and when one joins.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -99,7 +99,7 @@
 		service.Slots += s.Slots
 		service.Running += s.Busy
 		service.Servers = append(service.Servers, wire.ServerStatus{
-			Name: s.ID, State: conf.Active, Load: s.Busy, Slots: s.Slots, Suspect: s.Misses > 0, Warming: s.Warming,
+			Name: s.ID, State: conf.Active, Load: s.Busy, Slots: s.Slots, Suspect: s.Misses > 0, Warming: s.Warming, Slow: s.Slow,
 		})
 	}
 	return out
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,214 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/internal/wire"
+	"lagoonramp.org/lagoonramp/platform/stub"
+)
+
+func TestRequestsReachTheirService(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.start(3, 4)
+	var n atomic.Int64
+	stop := make(chan struct{})
+	wait := w.load(8, 20_000, stop)
+	w.eventually("300 requests ended", func() bool { n.Store(w.requests.Load()); return n.Load() >= 300 })
+	close(stop)
+	out := wait()
+	is.Equal(len(out), 1) // Only answered ones.
+	is.True(out[stub.Answered] >= 300)
+	w.unharmed()
+}
+
+// TestFlowsSurviveHosts moves nearly all flows whenever a host leaves or joins.
+func TestFlowsSurviveHosts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.router.Mod = true
+	w.start(3, 4)
+	stop := make(chan struct{})
+	wait := w.load(8, 400_000, stop)
+	for i, h := range w.hosts[:2] {
+		h.soft()
+		<-h.done
+		w.router.Remove(fmt.Sprintf("h%d", i+1))
+	}
+	w.addHost()
+	w.eventually("the new host is ready", func() bool { return w.router.Ready() == 2 })
+	close(stop)
+	out := wait()
+	is.Equal(out[stub.Broken], 0)
+	is.Equal(out[stub.Late], 0)
+	is.Equal(out[stub.Refused], 0)
+	is.True(out[stub.Answered] > 0)
+	w.unharmed()
+}
+
+func TestLeavingServerGetsNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	var late atomic.Int64
+	var closed atomic.Pointer[stub.Server]
+	w.ledger.OnOpening = func(s *stub.Server, _ string, _ time.Time) {
+		if s == closed.Load() {
+			late.Add(1)
+		}
+	}
+	w.start(3, 3)
+	leaving := w.servers[0]
+	stop := make(chan struct{})
+	wait := w.load(8, 2000, stop)
+	leaving.Drain()
+	w.store.Put(leaving.Key(), leaving.Entry("draining"))
+	for _, h := range w.hosts {
+		w.eventually("a host knows that the server leaves", func() bool { return w.knows(h, 3) })
+	}
+	time.Sleep(100 * time.Millisecond) // SYNs on their way arrive.
+	closed.Store(leaving)
+	before := w.requests.Load()
+	w.eventually("100 more requests ended", func() bool { return w.requests.Load() > before+100 })
+	close(stop)
+	out := wait()
+	is.Equal(late.Load(), int64(0))
+	is.Equal(out[stub.Broken], 0)
+	w.unharmed()
+}
+
+// TestSilentServerCostsNoRequest mutes a server that the store still lists.
+func TestSilentServerCostsNoRequest(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.start(2, 4)
+	w.servers[1].Mute(true)
+	for range 100 {
+		is.Equal(w.request(entryRoute, 500).Result, stub.Answered)
+	}
+	w.unharmed()
+}
+
+// TestHostTurnedAwayLearnsFromPeers lets the store refuse one host.
+func TestHostTurnedAwayLearnsFromPeers(t *testing.T) {
+	w := newWorld(t)
+	w.start(3, 3)
+	away := w.hosts[2]
+	away.store.shut.Store(true)
+	w.addServer("entry-desk")
+	w.configure("entry-desk", "catalogue-press")
+	w.eventually("the host that is turned away knows the change", func() bool {
+		return w.knows(away, 5) && away.Version() == uint64(w.version)
+	})
+	// A host that starts anew while all are turned away learns from them too.
+	for _, h := range w.hosts {
+		h.store.shut.Store(true)
+	}
+	w.hosts[1].kill()
+	w.store.Fail(stub.Busy)
+	fresh := w.startHost(9)
+	w.eventually("a fresh host knows the state", func() bool { return w.knows(fresh, 5) })
+}
+
+// TestLostAnswersAreNoticed hangs every call that waits, then changes the
+// document: a watch that is never answered must not keep the hosts behind.
+func TestLostAnswersAreNoticed(t *testing.T) {
+	w := newWorld(t)
+	w.start(3, 2)
+	w.store.Fail(stub.Silent)
+	time.Sleep(50 * time.Millisecond)
+	w.configure("entry-desk", "catalogue-press")
+	w.store.Fail(stub.Healthy)
+	for _, h := range w.hosts {
+		w.eventually("a host knows the change", func() bool { return h.Version() == uint64(w.version) })
+	}
+}
+
+// TestStoreFaults fails the store in each way while a server joins.
+func TestStoreFaults(t *testing.T) {
+	for _, f := range []stub.Fault{stub.Busy, stub.Limited, stub.Reset, stub.Nonsense, stub.Huge} {
+		t.Run(fmt.Sprint(f), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.start(2, 2)
+			w.store.Fail(f)
+			time.Sleep(300 * time.Millisecond)
+			is.Equal(w.request(entryRoute, 100).Result, stub.Answered)
+			w.store.DiscardHistory()
+			w.addServer("entry-desk")
+			w.store.Fail(stub.Healthy)
+			for _, h := range w.hosts {
+				w.eventually("a host knows the new server", func() bool { return w.knows(h, 4) })
+			}
+			is.Equal(w.request(entryRoute, 100).Result, stub.Answered)
+		})
+	}
+}
+
+// TestForeignBytesHarmNothing sends broken packets, digests, entries and
+// documents.
+func TestForeignBytesHarmNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.start(2, 2)
+	conn, err := net.Dial("udp4", w.address(2, 1).String())
+	is.NoErr(err)
+	peer, err := net.Dial("udp4", netip.AddrPortFrom(w.address(2, 1).Addr(), w.port+2).String())
+	is.NoErr(err)
+	for _, b := range [][]byte{{}, {1}, make([]byte, 35), make([]byte, 36), make([]byte, 2000), []byte(strings.Repeat("x", 100))} {
+		_, _ = conn.Write(b)
+		_, _ = peer.Write(b)
+	}
+	w.store.Put("servers/i-zz", []byte(`{}`))
+	w.store.Put("servers/i-0badc0de", []byte(`{"Service":7`))
+	w.store.Put("op/config", []byte(`{"Version":"x"`))
+	last := w.store.Put("op/other", []byte{0, 1, 2})
+	for _, h := range w.hosts {
+		w.eventually("a host has read them", func() bool { return h.Revision() >= last })
+	}
+	for range 20 {
+		is.Equal(w.request(entryRoute, 500).Result, stub.Answered)
+	}
+	w.unharmed()
+}
+
+func TestUnknownRouteIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.start(1, 1)
+	w.configure("entry-desk", "missing")
+	w.eventually("the host knows the change", func() bool { return w.hosts[0].Version() == uint64(w.version) })
+	is.Equal(w.request(pressRoute, 10).Result, stub.Refused)
+}
+
+func TestOperatorsSeeTheHosts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.start(2, 2)
+	admin := fmt.Sprintf("http://%s:%d", w.address(2, 1).Addr(), w.port+3)
+	get := func(path string) *http.Response {
+		resp, err := http.Get(admin + path)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = resp.Body.Close() })
+		return resp
+	}
+	w.eventually("the status names both hosts", func() bool {
+		var got wire.ClusterStatus
+		return json.NewDecoder(get("/api/status").Body).Decode(&got) == nil && len(got.Hosts) == 2 &&
+			got.Hosts[1].Status != nil && got.Latest == uint64(w.version)
+	})
+	var events struct{ Events []struct{ Kind, Host string } }
+	is.NoErr(json.NewDecoder(get("/api/events").Body).Decode(&events))
+	is.True(len(events.Events) > 0)
+	is.Equal(get("/metrics").StatusCode, http.StatusOK)
+	is.Equal(get("/readyz").StatusCode, http.StatusOK)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -15,6 +15,7 @@
 	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/pkg/steer"
 )
 
 // Settings of a Host.
@@ -186,6 +187,13 @@
 		builder: fleet.NewBuilder(fleet.Settings{FlowLifetime: h.set.FlowLifetime}),
 	}
 	c.peers = newPeers(h, h.peerConn)
+	h.traffic.tell = func(pins []steer.Pin) {
+		select {
+		case h.do <- func(c *control) { c.peers.tellPins(h.now(), pins, c) }:
+		default:
+			h.log.Warn("traffic: the control loop is busy, pins of flows were not told", zap.Int("flows", len(pins)))
+		}
+	}
 	h.watch.Store(true)
 	servers := map[net.Listener]*http.Server{
 		h.ready:   {Handler: h.set.ReadinessHandler(h.isReady)},
@@ -229,6 +237,7 @@
 // leave goes on forwarding until the routers have turned away.
 func (h *Host) leave(hard context.Context) {
 	h.leaving.Store(true)
+	h.traffic.wanted.Store(true)
 	h.events.Add(event.Event{Kind: event.Stopping, Cause: "asked to stop"})
 	h.log.Info("entry: leaving, not ready any more")
 	pause(hard, leaveFor)
@@ -237,3 +246,26 @@
 		pause(hard, quietFor/4)
 	}
 }
+
+// Servers returns how many servers the host has for new flows.
+func (h *Host) Servers() int {
+	n := 0
+	if p := h.published.Load(); p != nil {
+		for _, s := range p.view.Usable {
+			n += len(s)
+		}
+	}
+	return n
+}
+
+// Version returns the version of the operators' document in force, 0 for none.
+func (h *Host) Version() uint64 {
+	if p := h.published.Load(); p != nil {
+		return p.view.Version
+	}
+	return 0
+}
+
+// Revision returns the store's revision up to which the host knows all
+// changes.
+func (h *Host) Revision() uint64 { return h.revision.Load() }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -21,6 +21,7 @@
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 	"lagoonramp.org/lagoonramp/pkg/spread"
+	"lagoonramp.org/lagoonramp/pkg/steer"
 )
 
 const (
@@ -43,6 +44,8 @@
 	staleDigest = 15 * time.Second
 	// maxDigest bounds a digest in bytes, so that it fits a datagram.
 	maxDigest = 1200
+	// maxPins is how many flows' pins a digest tells.
+	maxPins = 8
 	// maxKnown is how many other hosts a digest names.
 	maxKnown = 3
 	// maxState bounds the state of a peer, in bytes.
@@ -74,6 +77,8 @@
 	// Since and Items are the changes from Since to Revision, if they fit.
 	Since uint64        `json:"since,omitempty"`
 	Items []mirror.Item `json:"items,omitempty"`
+	// Pins are flows whose marks may be wrong.
+	Pins []steer.Pin `json:"pins,omitempty"`
 }
 
 // hostRecord is what a host writes of itself to the store.
@@ -156,7 +161,11 @@
 		p.setHosts()
 	}
 	from := p.known[peerID(a)]
+	if len(d.Pins) > 0 {
+		p.host.traffic.hear(d.Pins)
+	}
 	if from.name == "" {
+		p.host.traffic.wanted.Store(true)
 		p.host.log.Info("peers: host joined", zap.String("peer", d.From), zap.Stringer("address", a))
 		p.host.events.Add(event.Event{Kind: event.Joined, Peer: d.From})
 	}
@@ -184,6 +193,16 @@
 	}
 }
 
+// tellPins tells all peers the pins of flows, a few in a datagram.
+func (p *peers) tellPins(now time.Duration, pins []steer.Pin, c *control) {
+	for some := range slices.Chunk(pins, maxPins) {
+		d := p.digest(now, c)
+		d.Known = nil
+		d.Pins = some
+		p.tellAll(now, d)
+	}
+}
+
 // tick does what is due.
 func (p *peers) tick(now time.Duration, c *control) {
 	turn := p.watchers.Watches(now, p.host.served.Load())
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,8 @@
 	socketBuffer = 1 << 20
 	// reasonCount is more than there are reasons.
 	reasonCount = 16
+	// maxTold bounds the pins that wait for the loop.
+	maxTold = 4096
 	// reportEvery is how often the servers' state is put together for
 	// operators.
 	reportEvery = time.Second
@@ -67,6 +70,13 @@
 	current  *published
 	counters Counters
 	lastAt   atomic.Int64
+	// tell takes pins for other hosts; it must not block.
+	tell func([]steer.Pin)
+	// told holds pins of other hosts until the loop takes them, and wanted
+	// tells that all pins are to be told again.
+	toldMu sync.Mutex
+	told   []steer.Pin
+	wanted atomic.Bool
 	// report is what the table knows of the servers, made anew when reportAt
 	// has come.
 	report   atomic.Pointer[[]steer.ServerReport]
@@ -178,6 +188,9 @@
 		t.packet(now, t.reader.Datagram(i))
 	}
 	t.writer.Flush()
+	if pins := t.table.TakePins(); len(pins) > 0 {
+		t.tell(pins)
+	}
 	t.lastAt.Store(int64(now))
 	t.counters.Received.Add(uint64(n))
 	t.counters.Unsent.Store(t.writer.Failed)
@@ -190,6 +203,7 @@
 }
 
 func (t *traffic) refresh(now time.Duration) {
+	t.takeTold(now)
 	p := t.view.Load()
 	if p == t.current {
 		return
@@ -201,6 +215,31 @@
 	t.current = p
 }
 
+// hear keeps pins of another host for the loop. Any thread may call it.
+func (t *traffic) hear(pins []steer.Pin) {
+	t.toldMu.Lock()
+	defer t.toldMu.Unlock()
+	if len(t.told) < maxTold {
+		t.told = append(t.told, pins...)
+	}
+}
+
+// takeTold gives the table the pins of other hosts.
+func (t *traffic) takeTold(now time.Duration) {
+	t.toldMu.Lock()
+	told := t.told
+	t.told = nil
+	t.toldMu.Unlock()
+	for _, p := range told {
+		t.table.Told(now, p)
+	}
+	if t.wanted.Swap(false) {
+		if pins := t.table.Pins(); len(pins) > 0 {
+			t.tell(pins)
+		}
+	}
+}
+
 // packet forwards one packet, which lies behind the room for a frame.
 func (t *traffic) packet(now time.Duration, framed []byte) {
 	room := t.codec.FrameLength()
--- /dev/null
+++ b/internal/entry/world_test.go
@@ -0,0 +1,274 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"lagoonramp.org/lagoonramp/internal/entry"
+	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/platform"
+	"lagoonramp.org/lagoonramp/platform/stub"
+)
+
+// patience bounds the wait for something that has to happen.
+const patience = 20 * time.Second
+
+var (
+	entryRoute = netip.MustParseAddrPort("198.18.0.1:443")
+	pressRoute = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// world is a platform of stand-ins with hosts in one process.
+type world struct {
+	t        *testing.T
+	port     uint16
+	net      byte
+	store    *stub.Store
+	storeAt  string
+	router   *stub.Router
+	ledger   *stub.Ledger
+	caller   *stub.Caller
+	hosts    []*hostProcess
+	servers  []*stub.Server
+	version  int
+	requests atomic.Int64
+}
+
+// hostProcess is a host that a test can stop.
+type hostProcess struct {
+	*entry.Host
+	store      *gateStore
+	soft, hard context.CancelFunc
+	done       chan struct{}
+}
+
+// gateStore refuses calls while it is shut.
+type gateStore struct {
+	entry.Store
+	shut atomic.Bool
+}
+
+var errShut = errors.New("the store turns this host away")
+
+func (g *gateStore) Read(ctx context.Context) ([]mirror.Item, uint64, error) {
+	if g.shut.Load() {
+		return nil, 0, errShut
+	}
+	return g.Store.Read(ctx)
+}
+
+func (g *gateStore) Watch(ctx context.Context, after uint64, wait, grace time.Duration) ([]mirror.Item, uint64, error) {
+	if g.shut.Load() {
+		return nil, 0, errShut
+	}
+	items, revision, err := g.Store.Watch(ctx, after, wait, grace)
+	if g.shut.Load() {
+		return nil, 0, errShut
+	}
+	return items, revision, err
+}
+
+// networks hands each world a network of its own in 127.0.0.0/8.
+var networks atomic.Uint32
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	l, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{
+		t: t, port: uint16(l.LocalAddr().(*net.UDPAddr).Port), net: byte(10 + networks.Add(1)),
+		store: stub.NewStore(), router: stub.StartRouter(), ledger: stub.NewLedger(),
+	}
+	_ = l.Close()
+	web, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.storeAt = web.Addr().String()
+	server := &http.Server{Handler: w.store}
+	go func() { _ = server.Serve(web) }()
+	if w.caller, err = stub.StartCaller(w.address(1, 1).Addr().String(), w.port, w.router); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		w.caller.Close()
+		for _, h := range w.hosts {
+			h.kill()
+		}
+		for _, s := range w.servers {
+			s.Crash()
+		}
+		w.router.Close()
+		w.store.Close()
+		_ = server.Close()
+	})
+	w.configure("entry-desk", "catalogue-press")
+	return w
+}
+
+// address returns an address of the world's network.
+func (w *world) address(kind, n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, w.net, kind, n}), w.port)
+}
+
+// configure writes a document that leads the two routes to two services.
+func (w *world) configure(entryService, pressService string) {
+	w.version += 3
+	w.store.Put("op/config", fmt.Appendf(nil, `{"Version":%d,"Routes":[
+		{"Name":"r1","Host":"198.18.0.1","Prefix":"/443/","Service":%q},
+		{"Name":"r2","Host":"198.18.0.2","Prefix":"/443/","Service":%q}],
+		"Services":[{"Name":"entry-desk"},{"Name":"catalogue-press"}],"Limits":{"IdleTimeoutMs":15000}}`,
+		w.version, entryService, pressService))
+}
+
+// addServer starts a server that has registered itself.
+func (w *world) addServer(service string) *stub.Server {
+	w.t.Helper()
+	n := byte(len(w.servers) + 1)
+	s := &stub.Server{ID: fmt.Sprintf("i-%010x", uint64(w.net)<<8|uint64(n)), Service: service, DataCentre: "sapporo", Slots: 3, Ledger: w.ledger}
+	if err := stub.StartServer(s, w.address(3, n).String(), w.port); err != nil {
+		w.t.Fatal(err)
+	}
+	w.servers = append(w.servers, s)
+	w.store.Put(s.Key(), s.Entry("ready"))
+	return s
+}
+
+// addHost starts a host.
+func (w *world) addHost() *hostProcess {
+	w.t.Helper()
+	return w.startHost(byte(len(w.hosts) + 1))
+}
+
+func (w *world) startHost(n byte) *hostProcess {
+	w.t.Helper()
+	ip := w.address(2, n).Addr()
+	h := &hostProcess{store: &gateStore{Store: platform.NewStore(w.storeAt)}, done: make(chan struct{})}
+	set := &entry.Settings{
+		Name: fmt.Sprintf("h%d", n), DataCentre: "sapporo",
+		Packets: w.address(2, n), Ready: netip.AddrPortFrom(ip, w.port+1), Peer: netip.AddrPortFrom(ip, w.port+2),
+		Admin: netip.AddrPortFrom(ip, w.port+3).String(), Seeds: []netip.AddrPort{netip.AddrPortFrom(w.address(2, 1).Addr(), w.port+2)},
+		FlowLifetime: time.Minute, Grace: 6 * time.Second, LinesDropped: func() uint64 { return 0 },
+		Codec: platform.Codec{}, Store: h.store, Decoder: platform.Decoder{}, ReadinessHandler: platform.ReadinessHandler,
+	}
+	var err error
+	if h.Host, err = entry.New(set, zap.NewNop()); err != nil {
+		w.t.Fatal(err)
+	}
+	var soft, hard context.Context
+	soft, h.soft = context.WithCancel(context.Background())
+	hard, h.hard = context.WithCancel(context.Background())
+	go func() {
+		defer close(h.done)
+		_ = h.Run(soft, hard)
+	}()
+	w.hosts = append(w.hosts, h)
+	w.router.Add(stub.Host{Name: set.Name, Packets: set.Packets, Ready: set.Ready})
+	return h
+}
+
+// kill ends a host at once.
+func (h *hostProcess) kill() {
+	h.hard()
+	<-h.done
+}
+
+// eventually waits until something holds.
+func (w *world) eventually(what string, holds func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	w.t.Fatalf("it did not happen that %s", what)
+}
+
+// start starts hosts and servers and waits until all hosts are ready.
+func (w *world) start(hosts, servers int) {
+	w.t.Helper()
+	for range servers {
+		w.addServer("entry-desk")
+	}
+	w.addServer("catalogue-press")
+	for range hosts {
+		w.addHost()
+	}
+	w.eventually("all hosts are ready", func() bool { return w.router.Ready() == hosts })
+	for _, h := range w.hosts {
+		w.eventually("a host knows all servers", func() bool { return w.knows(h, servers+1) })
+	}
+}
+
+// knows reports whether a host has a number of servers for new flows.
+func (w *world) knows(h *hostProcess, servers int) bool { return h.Servers() == servers }
+
+// request sends one request and checks what must hold of any outcome.
+func (w *world) request(route netip.AddrPort, size int) stub.Outcome {
+	id := fmt.Sprintf("q%d", w.requests.Add(1))
+	o := w.caller.Do(route, id, size, time.Duration(rand.IntN(5))*time.Millisecond, 10*time.Second)
+	ran := w.ledger.Ran(id)
+	want := map[netip.AddrPort]string{entryRoute: "entry-desk", pressRoute: "catalogue-press"}[route]
+	switch {
+	case o.Result == stub.Wrong:
+		w.t.Errorf("%s: a wrong answer", id)
+	case o.Result == stub.Answered && (o.Service != want || ran != 1):
+		w.t.Errorf("%s: answered by %s, ran %d times", id, o.Service, ran)
+	case (o.Result == stub.NotOpened || o.Result == stub.Refused || o.Result == stub.Shed) && ran != 0:
+		w.t.Errorf("%s: %v, but it ran", id, o.Result)
+	}
+	return o
+}
+
+// load sends requests until stop is closed, and returns the outcomes by result.
+func (w *world) load(callers, size int, stop <-chan struct{}) func() map[stub.Result]int {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	out := map[stub.Result]int{}
+	for i := range callers {
+		route := entryRoute
+		if i%4 == 3 {
+			route = pressRoute
+		}
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				o := w.request(route, size)
+				mu.Lock()
+				out[o.Result]++
+				mu.Unlock()
+			}
+		})
+	}
+	return func() map[stub.Result]int {
+		group.Wait()
+		return out
+	}
+}
+
+// unharmed checks that no packet was changed or taken for another server.
+func (w *world) unharmed() {
+	w.t.Helper()
+	is := is.New(w.t)
+	misdirected, forged := w.ledger.Counts()
+	is.Equal(misdirected, 0)
+	is.Equal(forged, 0)
+}
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -76,6 +76,8 @@
 	// that it is still slow after its start.
 	Suspect bool `json:"suspect,omitempty"`
 	Warming bool `json:"warming,omitempty"`
+	// Slow tells that its answers take much longer than others'.
+	Slow bool `json:"slow,omitempty"`
 }
 
 // ClusterStatus is all hosts as seen from one.
--- a/pkg/steer/choose.go
+++ b/pkg/steer/choose.go
@@ -99,7 +99,7 @@
 		}
 		return probeCost
 	}
-	cost := float64(h.busy+1) / float64(s.Slots)
+	cost := float64(h.busy+1) / float64(s.Slots) * h.speed.factor(now)
 	if now < s.WarmUntil {
 		cost *= coldCost
 	}
--- /dev/null
+++ b/pkg/steer/crest_test.go
@@ -0,0 +1,225 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/internal/vtime"
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+)
+
+// crestPlan is a load on one service, as the Association's entry-desk sees it.
+type crestPlan struct {
+	hosts, servers, slots int
+	// rate is new requests a second, and work their mean time.
+	rate float64
+	work time.Duration
+	// goal is within what time a request hopes to be answered, and patience
+	// when its caller gives up.
+	goal, patience time.Duration
+	// outageFrom and outageTo are when no host takes packets.
+	outageFrom, outageTo time.Duration
+	// slow is how many servers work five times as long, and dead how many do
+	// not answer from dieAt on.
+	slow, dead int
+	dieAt      time.Duration
+	end        time.Duration
+}
+
+// crestWorld plays a plan with a Table at each host.
+type crestWorld struct {
+	vtime.Clock
+	plan   crestPlan
+	rng    *rand.Rand
+	tables []*Table
+	view   *fleet.View
+	busy   []int
+	queues [][]func()
+	// inTime and all count the requests that began after the outage or, if
+	// there is none, all.
+	inTime, all, served, total int
+}
+
+const (
+	crestHop   = 4 * ms
+	crestQueue = 12
+)
+
+func newCrestWorld(plan crestPlan, seed uint64, share int) *crestWorld {
+	w := &crestWorld{plan: plan, rng: rand.New(rand.NewPCG(seed, 6)), busy: make([]int, plan.servers), queues: make([][]func(), plan.servers)}
+	w.view = &fleet.View{
+		Version: 1, Usable: map[string][]*fleet.Server{}, Marked: map[uint32]*fleet.Server{},
+		Routes: map[netip.AddrPort]*fleet.Path{route: {Targets: []fleet.Target{{Service: "desk", Weight: 1}}}},
+	}
+	for i := range plan.servers {
+		s := &fleet.Server{Service: "desk", DataCentre: "a", Slots: plan.slots, Mark: uint32(i + 1)}
+		w.view.Usable["desk"] = append(w.view.Usable["desk"], s)
+		w.view.Marked[s.Mark] = s
+	}
+	for i := range plan.hosts {
+		t := NewTable(Settings{DataCentre: "a", Rand: rand.New(rand.NewPCG(seed, uint64(i)))})
+		t.SetView(0, w.view)
+		t.SetHosts(share)
+		w.tables = append(w.tables, t)
+	}
+	return w
+}
+
+func (w *crestWorld) run() *crestWorld {
+	n := 0
+	w.Every(time.Duration(float64(time.Second)/w.plan.rate), func() bool {
+		n++
+		w.begin(n)
+		return w.Now() < w.plan.end
+	})
+	w.Every(ms, func() bool {
+		for i, t := range w.tables {
+			for r, ok := t.Due(w.Now()); ok; r, ok = t.Due(w.Now()) {
+				w.syn(i, int(r.Key.Caller.Port())-1024, r.Server)
+			}
+		}
+		return true
+	})
+	w.Until(w.plan.end + 3*time.Second)
+	return w
+}
+
+// request is a request of a caller.
+type crestRequest struct {
+	n, host int
+	start   time.Duration
+	opened  bool
+}
+
+var crestRequests = map[int]*crestRequest{}
+
+func (w *crestWorld) begin(n int) {
+	r := &crestRequest{n: n % 60_000, host: w.rng.IntN(w.plan.hosts), start: w.Now()}
+	crestRequests[r.n] = r
+	w.total++
+	if r.start >= w.plan.outageTo {
+		w.all++
+	}
+	for i, after := range []time.Duration{0, 200 * ms, 600 * ms} {
+		w.After(after+crestHop, func() {
+			if r.opened || w.down() {
+				return
+			}
+			v := w.tables[r.host].testSyn(w.Now(), r.n, i)
+			if v.Action == Forward {
+				w.syn(r.host, r.n, v.Server)
+			}
+		})
+	}
+}
+
+func (w *crestWorld) down() bool {
+	return w.Now() >= w.plan.outageFrom && w.Now() < w.plan.outageTo
+}
+
+// syn brings a SYN to a server; the caller's request follows.
+func (w *crestWorld) syn(host, n int, s *fleet.Server) {
+	r := crestRequests[n]
+	at := int(s.Mark) - 1
+	if at >= w.plan.servers-w.plan.dead && w.Now() >= w.plan.dieAt {
+		return
+	}
+	w.After(2*crestHop, func() {
+		if r.opened || w.down() {
+			return
+		}
+		r.opened = true
+		w.tables[host].testData(w.Now(), n, s.Mark, 7, 10)
+		w.After(crestHop, func() { w.serve(r, s) })
+	})
+}
+
+func (w *crestWorld) serve(r *crestRequest, s *fleet.Server) {
+	at := int(s.Mark) - 1
+	run := func() {
+		w.busy[at]++
+		work := time.Duration((0.5 + w.rng.Float64()) * float64(w.plan.work))
+		if at < w.plan.slow {
+			work *= 5
+		}
+		w.After(work, func() { w.ran(r, s) })
+	}
+	switch {
+	case w.busy[at] < w.plan.slots:
+		run()
+	case len(w.queues[at]) < crestQueue:
+		w.queues[at] = append(w.queues[at], run)
+	}
+}
+
+func (w *crestWorld) ran(r *crestRequest, s *fleet.Server) {
+	at := int(s.Mark) - 1
+	w.busy[at]--
+	if len(w.queues[at]) > 0 {
+		next := w.queues[at][0]
+		w.queues[at] = w.queues[at][1:]
+		next()
+	}
+	took := w.Now() + crestHop - r.start
+	if took <= w.plan.patience {
+		w.served++
+	}
+	if took <= w.plan.goal && r.start >= w.plan.outageTo {
+		w.inTime++
+	}
+	w.After(2*crestHop, func() { w.tables[r.host].testData(w.Now(), r.n, s.Mark, 8, 0) })
+}
+
+func (w *crestWorld) share() float64 { return float64(w.inTime) / float64(w.all) }
+
+// association is the Association's entry-desk at its crest.
+var association = crestPlan{
+	hosts: 7, servers: 14, slots: 3, rate: 500, work: 50 * ms,
+	goal: 250 * ms, patience: 1500 * ms, end: 20 * time.Second,
+}
+
+func TestCrestIsServedInTime(t *testing.T) {
+	is := is.New(t)
+	w := newCrestWorld(association, 1, 7).run()
+	is.True(w.share() > 0.99)
+}
+
+// TestNewFlowsGoBeforeCopiesAfterAnOutage replays the return after a power-off
+// of all hosts, with and without holding the callers' copies.
+func TestNewFlowsGoBeforeCopiesAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	plan := association
+	plan.rate = 560
+	plan.outageFrom, plan.outageTo, plan.end = 3*time.Second, 4500*ms, 5500*ms
+	var with, without float64
+	for seed := range uint64(5) {
+		with += newCrestWorld(plan, seed, 7).run().share()
+		without += newCrestWorld(plan, seed, 1).run().share()
+	}
+	is.True(with > without)
+}
+
+// TestDeadServersCostLittle lets a seventh of the servers go silent at the
+// crest.
+func TestDeadServersCostLittle(t *testing.T) {
+	is := is.New(t)
+	plan := association
+	plan.rate = 350
+	plan.dead, plan.dieAt = 2, 5*time.Second
+	is.True(newCrestWorld(plan, 1, 7).run().share() > 0.97)
+}
+
+// TestSlowServersAreAvoided lets a seventh of the servers work five times as
+// long.
+func TestSlowServersAreAvoided(t *testing.T) {
+	for _, rate := range []float64{200, 350, 450} {
+		is := is.New(t)
+		plan := association
+		plan.rate, plan.slow = rate, 2
+		is.True(newCrestWorld(plan, 1, 7).run().share() > 0.97)
+	}
+}
--- a/pkg/steer/health.go
+++ b/pkg/steer/health.go
@@ -25,6 +25,7 @@
 	missedAt, reachedAt time.Duration
 	// retryAt is when the server may get a flow again after a miss.
 	retryAt time.Duration
+	speed   speed
 }
 
 // newHealth returns the health of a server whose former one, if any, was old.
--- a/pkg/steer/report.go
+++ b/pkg/steer/report.go
@@ -15,6 +15,8 @@
 	// Misses counts the SYNs without an answer since the last answer; above 0
 	// the server is avoided.
 	Misses int
+	// Slow tells that the server's answers take much longer than others'.
+	Slow bool
 	// Warming tells that the server is still slow after its start.
 	Warming bool
 }
@@ -30,7 +32,7 @@
 			h := t.servers[s.Mark]
 			out = append(out, ServerReport{
 				Service: service, ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots,
-				Busy: h.busy, Misses: h.misses, Warming: now < s.WarmUntil,
+				Busy: h.busy, Misses: h.misses, Slow: h.speed.slow, Warming: now < s.WarmUntil,
 			})
 		}
 	}
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/fleet"
@@ -48,7 +49,11 @@
 	free    *flow
 	servers map[uint32]*Health
 	centres map[string]*estimator
-	due     dueHeap
+	// routes holds what is typical of each route with answers.
+	routes map[netip.AddrPort]*typical
+	due    dueHeap
+	// pins are those that other hosts are to be told.
+	pins    []Pin
 	sweepAt time.Duration
 	opening [maxOpening]byte
 }
@@ -104,6 +109,7 @@
 	}
 	return &Table{
 		set: set, hosts: 1, flows: map[Key]*flow{}, servers: map[uint32]*Health{}, centres: map[string]*estimator{},
+		routes: map[netip.AddrPort]*typical{},
 	}
 }
 
@@ -121,6 +127,11 @@
 			delete(t.servers, m)
 		}
 	}
+	for a := range t.routes {
+		if v.Routes[a] == nil {
+			delete(t.routes, a)
+		}
+	}
 }
 
 // Held returns how many flows are remembered.
@@ -239,8 +250,7 @@
 	if f.asked && int32(p.Ack-f.askedAck) > 0 {
 		f.asked = false
 		v.Answer = now - f.askedAt
-		t.reached(now, v.Server)
-		t.setBusy(f, 0)
+		t.answered(now, f, v)
 	}
 	if p.Fin || p.Reset {
 		f.ended = true
@@ -259,11 +269,27 @@
 		t.centre(s.DataCentre).add(took)
 	}
 	if f.tries > 1 {
+		t.pins = append(t.pins, Pin{Key: f.key, Mark: s.Mark})
 		return 0
 	}
 	return took
 }
 
+// answered notes that the answer to a flow's request began.
+func (t *Table) answered(now time.Duration, f *flow, v *Verdict) {
+	t.setBusy(f, 0)
+	t.reached(now, v.Server)
+	y := t.routes[f.key.Service]
+	if y == nil {
+		y = &typical{}
+		t.routes[f.key.Service] = y
+	}
+	ratio := y.add(v.Answer)
+	if h := t.servers[v.Server.Mark]; h != nil {
+		h.speed.add(now, ratio)
+	}
+}
+
 // reached notes that a server answered.
 func (t *Table) reached(now time.Duration, s *fleet.Server) {
 	if h := t.servers[s.Mark]; h != nil {
