Wake up less: no polling for the turn to watch, no deadline for open flows

Change: the watch loop is woken by a signal; entries of open flows leave the heap before the deadline is set; a pin is told when a packet's mark shows that another server answered too.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -53,9 +53,6 @@
 	// firstRetry and maxRetry bound the pause after a refused call.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = time.Second
-	// idlePoll is how often a host that does not watch looks whether it has
-	// to.
-	idlePoll = 50 * time.Millisecond
 )
 
 // control owns the replica and makes views of it.
@@ -226,7 +223,10 @@
 	for ctx.Err() == nil {
 		if !h.watch.Load() {
 			h.served.Store(false)
-			pause(ctx, idlePoll)
+			select {
+			case <-ctx.Done():
+			case <-h.turn:
+			}
 			continue
 		}
 		changed, err := h.follow(ctx, grace)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -85,6 +85,8 @@
 	// that the store served its latest call.
 	watch, served, storeAway atomic.Bool
 	leaving                  atomic.Bool
+	// turn wakes the watch loop when it is this host's turn.
+	turn chan struct{}
 
 	storeCalls, storeErrors, fetches, digestsSent atomic.Uint64
 
@@ -99,7 +101,7 @@
 	h := &Host{
 		set: set, log: log, epoch: time.Now(), events: event.NewRing(set.Name, set.DataCentre),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle}},
-		do:     make(chan func(*control), controlQueue), viewed: make(chan struct{}), stopped: make(chan struct{}),
+		do:     make(chan func(*control), controlQueue), viewed: make(chan struct{}), stopped: make(chan struct{}), turn: make(chan struct{}, 1),
 	}
 	if err := h.openSockets(); err != nil {
 		h.closeSockets()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -26,7 +26,7 @@
 
 const (
 	// peerTick is how often a host looks at what it owes its peers.
-	peerTick = 100 * time.Millisecond
+	peerTick = 200 * time.Millisecond
 	// watcherDigests is how often a host that the store serves tells all
 	// others what it knows, and otherDigests how often another tells a few.
 	watcherDigests = 400 * time.Millisecond
@@ -206,7 +206,12 @@
 // tick does what is due.
 func (p *peers) tick(now time.Duration, c *control) {
 	turn := p.watchers.Watches(now, p.host.served.Load())
-	p.host.watch.Store(turn || c.replica.Age(now) > maxAge)
+	if turn = turn || c.replica.Age(now) > maxAge; !p.host.watch.Swap(turn) && turn {
+		select {
+		case p.host.turn <- struct{}{}:
+		default:
+		}
+	}
 	p.fetch(p.machine.Tick(now))
 	if now >= p.tellAt {
 		p.tell(now, c)
--- a/pkg/steer/due.go
+++ b/pkg/steer/due.go
@@ -11,6 +11,11 @@
 	serial uint32
 }
 
+// over reports whether nothing is to be done for the flow any more.
+func (e *dueEntry) over() bool {
+	return e.flow.serial != e.serial || e.flow.pinned != 0 || e.flow.ended
+}
+
 // dueHeap is a binary heap with the earliest entry first. The library's heap
 // would allocate for each entry.
 type dueHeap []dueEntry
--- a/pkg/steer/pin.go
+++ b/pkg/steer/pin.go
@@ -11,7 +11,17 @@
 	Mark uint32
 }
 
-// TakePins returns the pins of the flows that opened since the last call.
+// tellPin has other hosts told of a flow, once: a mark of another server shows
+// that this server answered too.
+func (t *Table) tellPin(f *flow) {
+	if !f.told {
+		f.told = true
+		t.pins = append(t.pins, Pin{Key: f.key, Mark: f.pinned})
+	}
+}
+
+// TakePins returns the pins that other hosts are to be told since the last
+// call.
 func (t *Table) TakePins() []Pin {
 	out := t.pins
 	t.pins = nil
@@ -38,5 +48,6 @@
 	f.tried[0] = p.Mark
 	f.tries = 2
 	f.pinned = p.Mark
+	f.told = true
 	f.lastAt = now
 }
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -82,6 +82,8 @@
 	askedAt  time.Duration
 	askedAck uint32
 	ended    bool
+	// told tells that other hosts were told the pin.
+	told bool
 	// serial tells a new use of the record from entries of the heap.
 	serial  uint32
 	opening [maxOpening]byte
@@ -216,6 +218,9 @@
 func (t *Table) marked(p *Packet, f *flow) *fleet.Server {
 	m := p.Mark
 	if f != nil && f.tries > 1 && f.pinned != 0 && !p.Reset {
+		if m != f.pinned {
+			t.tellPin(f)
+		}
 		m = f.pinned
 	}
 	if m == 0 && f != nil && f.tries > 0 {
@@ -269,7 +274,6 @@
 		t.centre(s.DataCentre).add(took)
 	}
 	if f.tries > 1 {
-		t.pins = append(t.pins, Pin{Key: f.key, Mark: s.Mark})
 		return 0
 	}
 	return took
@@ -329,10 +333,13 @@
 
 // NextDue returns when Due has something to do; ok is false if nothing waits.
 func (t *Table) NextDue() (at time.Duration, ok bool) {
-	if len(t.due) == 0 {
-		return 0, false
+	for len(t.due) > 0 {
+		if e := &t.due[0]; !e.over() {
+			return e.at, true
+		}
+		t.due.pop()
 	}
-	return t.due[0].at, true
+	return 0, false
 }
 
 // Due returns the next SYN that is to be sent to another server by now. It is
@@ -342,7 +349,7 @@
 	for len(t.due) > 0 && t.due[0].at <= now {
 		e := t.due.pop()
 		f := e.flow
-		if f.serial != e.serial || f.pinned != 0 || f.ended {
+		if e.over() {
 			continue
 		}
 		if f.tries == 0 {
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -187,9 +187,7 @@
 			now := firstWait + ms
 			is.Equal(table.testData(now, 1, opened, 7, 10).Server.Mark, opened)
 			told := newTestTable(99, "a", "b")
-			for _, p := range table.TakePins() {
-				told.Told(now, p)
-			}
+			poisoned := false
 			for bit := 1; bit < 6; bit++ {
 				m := first
 				if order>>bit&1 == 1 {
@@ -197,7 +195,12 @@
 				}
 				now += ms
 				is.Equal(table.testData(now, 1, m, 7, 10).Server.Mark, opened)
+				poisoned = poisoned || m != opened
+				for _, p := range table.TakePins() {
+					told.Told(now, p)
+				}
 				is.Equal(told.testData(now, 1, m, 7, 10).Server.Mark, opened)
+				is.Equal(len(told.flows) > 0, poisoned) // Told only when it matters.
 				reset := table.Packet(now, &Packet{Key: key(1), Mark: m, Reset: true}, nil)
 				is.Equal(reset.Server.Mark, m) // A reset goes to the server that caused it.
 				table.flows[key(1)].ended = false
