Add a fault soak that runs the real program as processes

Change: rampbench soak kills, stops, pauses and reloads hosts, harms their ways to the store and the store itself, lets servers leave, crash, freeze and their addresses be used again, by a seeded schedule with overlaps, and checks what callers and servers are promised.

--- a/cmd/rampbench/main.go
+++ b/cmd/rampbench/main.go
@@ -15,6 +15,8 @@
 const (
 	exitFailed = 1
 	exitUsage  = 2
+	// exitFound: a soak found a broken promise.
+	exitFound = 5
 )
 
 func main() {
@@ -22,7 +24,7 @@
 		Name:  "rampbench",
 		Usage: "stand-ins, load and experiments for lagoonramp",
 		Commands: []*cli.Command{
-			platformCommand(), fabricCommand(), serverCommand(), loadCommand(), experimentCommand(), capacityCommand(),
+			platformCommand(), fabricCommand(), serverCommand(), loadCommand(), experimentCommand(), capacityCommand(), soakCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/internal/soak/doc.go
@@ -0,0 +1,8 @@
+// Package soak runs the real program as processes against stand-ins of the
+// platform, injects faults from outside by a seeded schedule, and checks what
+// callers and servers are promised while it runs.
+//
+// The callers, servers, routers and the store live in the process of the soak.
+// Each host is a process of its own, which reaches the store through a proxy of
+// its own; it is stopped, paused, killed and restarted by signals.
+package soak
