Keep a flow where it was seen to open; drop SYNs that waited out a pause

Cause: a paused host sends a SYN on that its caller has opened by another host since; the second server's answer changes the mark of the open flow's packets, and they go to a server that answers with a reset. Ruled out: lost servers; pins of split flows (the SYN went to one server by each host). Change: a host keeps a flow at the server where it saw the flow open and tells the others when a packet has another mark; the clock runs on while the host is suspended; SYNs that came while the process did not run are dropped and counted.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -62,13 +62,13 @@
 // Status returns what this host knows.
 func (h *Host) Status() *wire.HostStatus {
 	s := &wire.HostStatus{
-		Name: h.set.Name, DataCentre: h.set.DataCentre, At: time.Now(), Started: h.epoch,
+		Name: h.set.Name, DataCentre: h.set.DataCentre, At: time.Now(), Started: h.started,
 		Leaving: h.leaving.Load(), PlatformDown: h.storeAway.Load(),
 		Flows: int(h.traffic.counters.Flows.Load()), Members: []wire.MemberStatus{}, Services: []wire.ServiceStatus{},
 	}
 	if p := h.published.Load(); p != nil {
 		s.Revision = p.view.Version
-		s.Since = h.epoch.Add(p.confirmed)
+		s.Since = h.started.Add(p.confirmed)
 	} else {
 		s.Alarm = "no configuration is known: neither the store nor a peer gave one"
 	}
@@ -220,6 +220,7 @@
 		{`lagoonramp_packets_forwarded_total`, &c.Forwarded},
 		{`lagoonramp_packets_malformed_total`, &c.Malformed},
 		{`lagoonramp_packets_unsent_total`, &c.Unsent},
+		{`lagoonramp_packets_stale_total`, &c.Stale},
 		{`lagoonramp_flows_resent_total`, &c.Resent},
 		{`lagoonramp_flows_held_total`, &c.Held},
 		{`lagoonramp_flows_refused_total`, &c.Refused},
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -92,7 +92,7 @@
 func (c *control) loop(ctx context.Context) {
 	c.rebuild = time.NewTimer(time.Hour)
 	defer c.rebuild.Stop()
-	ticker := time.NewTicker(peerTick)
+	ticker := time.NewTicker(beatEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -103,7 +103,9 @@
 		case <-c.rebuild.C:
 			c.build(c.host.now())
 		case <-ticker.C:
-			c.peers.tick(c.host.now(), c)
+			now := c.host.now()
+			c.host.clock.tick(now)
+			c.peers.tick(now, c)
 		}
 	}
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -67,7 +67,8 @@
 	log     *zap.Logger
 	events  *event.Ring
 	client  *http.Client
-	epoch   time.Time
+	started time.Time
+	clock   *clock
 	traffic *traffic
 	// published is what the traffic loop forwards by.
 	published atomic.Pointer[published]
@@ -99,7 +100,7 @@
 // New opens the host's sockets.
 func New(set *Settings, log *zap.Logger) (*Host, error) {
 	h := &Host{
-		set: set, log: log, epoch: time.Now(), events: event.NewRing(set.Name, set.DataCentre),
+		set: set, log: log, started: time.Now(), clock: newClock(), events: event.NewRing(set.Name, set.DataCentre),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle}},
 		do:     make(chan func(*control), controlQueue), viewed: make(chan struct{}), stopped: make(chan struct{}), turn: make(chan struct{}, 1),
 	}
@@ -114,7 +115,7 @@
 // wait in it until the host knows a view.
 func (h *Host) openSockets() error {
 	var err error
-	if h.traffic, err = newTraffic(h.set, h.epoch, &h.published, newDecisionLog(h.log)); err != nil {
+	if h.traffic, err = newTraffic(h.set, h.clock, &h.published, newDecisionLog(h.log)); err != nil {
 		return err
 	}
 	if h.ready, err = net.Listen("tcp4", h.set.Ready.String()); err != nil {
@@ -169,7 +170,7 @@
 	}
 }
 
-func (h *Host) now() time.Duration { return time.Since(h.epoch) }
+func (h *Host) now() time.Duration { return h.clock.now() }
 
 // isReady reports whether callers' flows may come here.
 func (h *Host) isReady() bool {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -82,6 +82,12 @@
 	}
 }
 
+func (l *decisionLog) stale(now time.Duration, p *steer.Packet, by *published) {
+	if e := l.unusual.Check(zap.WarnLevel, "traffic: SYN dropped, the host was paused"); e != nil {
+		e.Write(flowFields(now, p.Key, by)...)
+	}
+}
+
 func (l *decisionLog) refused(now time.Duration, p *steer.Packet, why steer.Reason, by *published) {
 	if e := l.unusual.Check(zap.WarnLevel, "traffic: flow refused, not run"); e != nil {
 		e.Write(append(flowFields(now, p.Key, by), zap.Stringer("reason", why))...)
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -53,21 +53,25 @@
 
 // Counters count what the traffic loop did since the start.
 type Counters struct {
-	Received, Forwarded, Malformed, Resent, Refused, Unsent, Held, Flows atomic.Uint64
-	Dropped                                                              [reasonCount]atomic.Uint64
+	Received, Forwarded, Malformed, Resent, Refused, Unsent, Held, Stale, Flows atomic.Uint64
+	Dropped                                                                     [reasonCount]atomic.Uint64
 }
 
 // traffic forwards packets. All but the counters and the view belongs to its
 // loop.
 type traffic struct {
-	codec    Codec
-	conn     *net.UDPConn
-	reader   *batch.Reader
-	writer   *batch.Writer
-	table    *steer.Table
-	epoch    time.Time
-	view     *atomic.Pointer[published]
-	current  *published
+	codec   Codec
+	conn    *net.UDPConn
+	reader  *batch.Reader
+	writer  *batch.Writer
+	table   *steer.Table
+	clock   *clock
+	view    *atomic.Pointer[published]
+	current *published
+	// stale tells that the process was paused while the packets at hand came.
+	// An old SYN is dropped: its caller may have opened the flow by another
+	// host, and a second server would harm it.
+	stale    bool
 	counters Counters
 	lastAt   atomic.Int64
 	// tell takes pins for other hosts; it must not block.
@@ -98,14 +102,14 @@
 	hosts int
 }
 
-func newTraffic(set *Settings, epoch time.Time, view *atomic.Pointer[published], log *decisionLog) (*traffic, error) {
+func newTraffic(set *Settings, clock *clock, view *atomic.Pointer[published], log *decisionLog) (*traffic, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(set.Packets))
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for packets")
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
-	t := &traffic{codec: set.Codec, conn: conn, epoch: epoch, view: view, log: log, metrics: metrics.NewSet()}
+	t := &traffic{codec: set.Codec, conn: conn, clock: clock, view: view, log: log, metrics: metrics.NewSet()}
 	t.handshakes = t.metrics.NewHistogram("lagoonramp_handshake_seconds")
 	t.answers = t.metrics.NewHistogram("lagoonramp_answer_seconds")
 	if t.reader, err = batch.NewReader(conn, set.Codec.MaxPacket()+1, set.Codec.FrameLength()); err != nil {
@@ -165,14 +169,14 @@
 	}
 }
 
-func (t *traffic) now() time.Duration { return time.Since(t.epoch) }
+func (t *traffic) now() time.Duration { return t.clock.now() }
 
 // setDeadline ends the wait for packets when a SYN is due for another server.
 func (t *traffic) setDeadline() {
 	at, ok := t.table.NextDue()
 	var deadline time.Time
 	if ok {
-		deadline = t.epoch.Add(at)
+		deadline = time.Now().Add(at - t.now())
 	}
 	if err := t.conn.SetReadDeadline(deadline); err != nil && !isClosed(err) {
 		t.log.failed("set the deadline of the packets' socket", err)
@@ -184,6 +188,7 @@
 	now := t.now()
 	t.refresh(now)
 	t.resets = t.resets[:0]
+	t.stale = t.clock.paused(now)
 	for i := range n {
 		t.packet(now, t.reader.Datagram(i))
 	}
@@ -250,6 +255,11 @@
 		t.log.malformed(err)
 		return
 	}
+	if t.stale && p.Syn {
+		t.counters.Stale.Add(1)
+		t.log.stale(now, &p, t.current)
+		return
+	}
 	v := t.table.Packet(now, &p, raw)
 	switch v.Action {
 	case steer.Forward:
--- a/pkg/steer/pin.go
+++ b/pkg/steer/pin.go
@@ -32,7 +32,7 @@
 func (t *Table) Pins() []Pin {
 	var out []Pin
 	for _, f := range t.flows {
-		if f.tries > 1 && f.pinned != 0 && !f.ended {
+		if (f.tries > 1 || f.told) && f.pinned != 0 && !f.ended {
 			out = append(out, Pin{Key: f.key, Mark: f.pinned})
 		}
 	}
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -212,12 +212,13 @@
 	return v
 }
 
-// marked returns the server of a packet after the SYN, or nil. A flow whose SYN
-// went to two servers stays where it opened, but a reset goes to the server
-// whose answer caused it.
+// marked returns the server of a packet after the SYN, or nil. A flow stays
+// where this host saw it open: a mark of another server shows that a copy of
+// the SYN reached that server too, maybe by another host. A reset goes to the
+// server whose answer caused it.
 func (t *Table) marked(p *Packet, f *flow) *fleet.Server {
 	m := p.Mark
-	if f != nil && f.tries > 1 && f.pinned != 0 && !p.Reset {
+	if f != nil && f.pinned != 0 && !f.ended && !p.Reset {
 		if m != f.pinned {
 			t.tellPin(f)
 		}
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -209,6 +209,19 @@
 	}
 }
 
+// TestLateSynByAnotherHostHarmsNoFlow is what soak seed 117 found: a host that
+// was paused sends a SYN on that its caller had opened by another host since.
+// The second server's answer changes the mark of the open flow's packets.
+func TestLateSynByAnotherHostHarmsNoFlow(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(1, "a", "b")
+	opened := table.testSyn(0, 1, 2).Server.Mark
+	other := 3 - opened
+	is.Equal(table.testData(ms, 1, opened, 7, 10).Server.Mark, opened)
+	is.Equal(table.testData(2*ms, 1, other, 7, 0).Server.Mark, opened)
+	is.Equal(len(table.TakePins()), 1)
+}
+
 func TestPortUsedAgainBeginsANewFlow(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(1, "a", "b")
