--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"compress/gzip"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -44,6 +46,10 @@
 	staleDigest = 15 * time.Second
 	// maxDigest bounds a digest in bytes, so that it fits a datagram.
 	maxDigest = 1200
+	// digestOverhead and itemOverhead are what a digest and an item take in
+	// bytes beside their keys and values, at most.
+	digestOverhead = 300
+	itemOverhead   = 60
 	// maxPins is how many flows' pins a digest tells.
 	maxPins = 8
 	// maxKnown is how many other hosts a digest names.
@@ -184,15 +190,26 @@
 	notify := p.machine.Adopted(c.replica.Revision())
 	d := p.digest(now, c)
 	d.Since, d.Items = since, items
-	if p.host.served.Load() {
+	if len(items) > 0 && p.fits(d) && p.host.served.Load() {
 		p.tellAll(now, d)
 		return
 	}
+	// Peers that have to fetch are told by a few, so that not all of them ask
+	// the same host at once; the others hear of it by the next digests.
 	for _, id := range notify {
 		p.send(d, p.known[id].address)
 	}
 }
 
+// fits reports whether a digest fits a datagram with its changes.
+func (p *peers) fits(d *digest) bool {
+	size := 0
+	for _, i := range d.Items {
+		size += len(i.Key) + base64.StdEncoding.EncodedLen(len(i.Value)) + itemOverhead
+	}
+	return size <= maxDigest-digestOverhead
+}
+
 // tellPins tells all peers the pins of flows, a few in a datagram.
 func (p *peers) tellPins(now time.Duration, pins []steer.Pin, c *control) {
 	for some := range slices.Chunk(pins, maxPins) {
@@ -269,13 +286,14 @@
 	return d
 }
 
+// send sends a digest, without its changes if they do not fit.
 func (p *peers) send(d *digest, to netip.AddrPort) {
-	b, err := json.Marshal(d)
-	if err == nil && len(b) > maxDigest && len(d.Items) > 0 {
+	if !p.fits(d) {
 		short := *d
 		short.Items, short.Since = nil, 0
-		b, err = json.Marshal(&short)
+		d = &short
 	}
+	b, err := json.Marshal(d)
 	if err == nil {
 		p.host.digestsSent.Add(1)
 		_, err = p.conn.WriteToUDPAddrPort(b, to)
@@ -349,7 +367,23 @@
 		http.Error(w, "the host knows no state yet", http.StatusServiceUnavailable)
 		return
 	}
-	h.writeJSON(w, &d)
+	h.writeCompressed(w, &d)
+}
+
+// writeCompressed writes a state, compressed; peers' clients decompress it.
+func (h *Host) writeCompressed(w http.ResponseWriter, d *mirror.Delta) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err == nil {
+		err = json.NewEncoder(z).Encode(d)
+	}
+	if err == nil {
+		err = z.Close()
+	}
+	if err != nil {
+		h.log.Debug("peers: a state was not given", zap.Error(err))
+	}
 }
 
 // readLoop takes digests until the socket is closed.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -10,6 +10,7 @@
 package mirror
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -30,8 +31,11 @@
 	// Revision is that of the giver.
 	Revision uint64 `json:"revision"`
 	// Whole tells that the items are all there are, not only those that
-	// changed.
-	Whole bool   `json:"whole"`
+	// changed. Removed ones are among them if they were removed after Floor.
+	Whole bool `json:"whole"`
+	// Floor is the revision from which on the giver knows all changes; 0 if it
+	// knows none but the state itself.
+	Floor uint64 `json:"floor,omitempty"`
 	Items []Item `json:"items"`
 	// Age is how long ago the giver knew that its replica was current.
 	Age time.Duration `json:"age"`
@@ -129,6 +133,11 @@
 // Load takes a whole state that was read at a revision or later, and reports
 // whether anything changed. Items that are missing in it were removed by then.
 func (m *Mirror) Load(now time.Duration, items []Item, revision uint64) (bool, error) {
+	return m.load(now, items, revision, 0)
+}
+
+// load takes a whole state with all changes from floor on, if that is not 0.
+func (m *Mirror) load(now time.Duration, items []Item, revision, floor uint64) (bool, error) {
 	if revision < m.revision {
 		return false, ErrBehind
 	}
@@ -142,17 +151,28 @@
 			gone = append(gone, Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
+	m.raiseFloor(revision, floor)
 	changed := m.Apply(now, append(gone, items...), revision)
-	// What was written and removed between the two revisions is not known.
-	m.floor = max(m.floor, revision)
 	m.loaded = true
 	return changed, nil
 }
 
+// raiseFloor notes from where on all changes are known after a whole state was
+// taken: what was written and removed between the own revision and the state's
+// floor is not.
+func (m *Mirror) raiseFloor(revision, floor uint64) {
+	if floor == 0 {
+		floor = revision
+	}
+	if !m.loaded || m.revision < floor {
+		m.floor = max(m.floor, floor)
+	}
+}
+
 // Take takes what a peer gave.
 func (m *Mirror) Take(now time.Duration, d *Delta) (bool, error) {
 	if d.Whole {
-		return m.Load(now, d.Items, d.Revision)
+		return m.load(now, d.Items, d.Revision, d.Floor)
 	}
 	if !m.loaded {
 		return false, errors.New("a part of the state was given to an empty replica")
@@ -163,19 +183,13 @@
 // Since returns what changed after a revision, or the whole state if that is
 // not known any more.
 func (m *Mirror) Since(now time.Duration, revision uint64) Delta {
-	d := Delta{Revision: m.revision, Age: m.Age(now), Whole: revision < m.floor}
+	d := Delta{Revision: m.revision, Age: m.Age(now), Whole: revision < m.floor, Floor: m.floor}
 	for _, i := range m.items {
-		if d.Whole && i.Deleted || !d.Whole && i.Revision <= revision {
-			continue
+		if d.Whole && !i.Deleted || i.Revision > max(revision, m.floor) {
+			d.Items = append(d.Items, i)
 		}
-		d.Items = append(d.Items, i)
 	}
-	slices.SortFunc(d.Items, func(a, b Item) int {
-		if a.Revision != b.Revision {
-			return int(a.Revision) - int(b.Revision)
-		}
-		return 0
-	})
+	slices.SortFunc(d.Items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return d
 }
 
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -106,6 +106,46 @@
 	return given{Delta: Delta{Revision: o.revision(), Items: o.events[after:]}, after: after}
 }
 
+// TestWholeStatesDoNotSpread lets a replica that read the store anew serve a
+// chain of others that are behind: only the first gets a whole state.
+func TestWholeStatesDoNotSpread(t *testing.T) {
+	is := is.New(t)
+	o := &origin{}
+	rng := rand.New(rand.NewPCG(1, 3))
+	for range 50 {
+		o.write(rng)
+	}
+	first := New(Settings{})
+	var items []Item
+	for _, i := range o.state(50) {
+		items = append(items, i)
+	}
+	_, err := first.Load(0, items, 50)
+	is.NoErr(err)
+	behind, next := New(Settings{}), New(Settings{})
+	for _, m := range []*Mirror{behind, next} {
+		_, err := m.Take(0, &Delta{Whole: true, Revision: 50, Items: items})
+		is.NoErr(err)
+	}
+	for range 30 {
+		o.write(rng)
+		first.Apply(0, o.events[len(o.events)-1:], o.revision())
+	}
+	d := first.Since(0, 10)
+	is.True(d.Whole)
+	fresh := New(Settings{})
+	_, err = fresh.Take(0, &d)
+	is.NoErr(err)
+	is.True(!fresh.Since(0, 60).Whole)
+	for _, m := range []*Mirror{behind, next} {
+		d := fresh.Since(0, m.Revision())
+		is.True(!d.Whole)
+		_, err := m.Take(0, &d)
+		is.NoErr(err)
+		is.Equal(content(m), o.state(o.revision()))
+	}
+}
+
 func TestAgeIsOfTheSourceNotOfTheCall(t *testing.T) {
 	is := is.New(t)
 	m := New(Settings{})
