--- a/internal/entry/clock.go
+++ b/internal/entry/clock.go
@@ -10,8 +10,8 @@
 const (
 	// beatEvery is how often the control loop shows that the process runs.
 	beatEvery = peerTick
-	// pausedAfter is the age of the latest beat from which on the process is
-	// taken to have been paused.
+	// pausedAfter is how long no loop runs when the process is taken to have
+	// been paused.
 	pausedAfter = 700 * time.Millisecond
 )
 
@@ -19,8 +19,10 @@
 // suspended, which the runtime's steady clock does not.
 type clock struct {
 	epoch time.Duration
-	// beat is when the control loop ran last.
-	beat atomic.Int64
+	// beat is when a loop ran last, and pauses counts how often none ran for
+	// long.
+	beat   atomic.Int64
+	pauses atomic.Uint64
 }
 
 func newClock() *clock { return &clock{epoch: sinceBoot()} }
@@ -39,11 +41,12 @@
 
 func (c *clock) now() time.Duration { return sinceBoot() - c.epoch }
 
-// tick notes that the process runs.
-func (c *clock) tick(now time.Duration) { c.beat.Store(int64(now)) }
-
-// paused reports whether the process did not run until just now: what waits in
-// its sockets may be old.
-func (c *clock) paused(now time.Duration) bool {
-	return now-time.Duration(c.beat.Load()) > pausedAfter
+// run notes that the process runs. It returns how often the process was paused
+// up to now: when the number changes, what waits in the sockets may be old.
+func (c *clock) run(now time.Duration) uint64 {
+	if now-time.Duration(c.beat.Load()) > pausedAfter {
+		c.pauses.Add(1)
+	}
+	c.beat.Store(int64(now))
+	return c.pauses.Load()
 }
--- a/internal/entry/clock_test.go
+++ b/internal/entry/clock_test.go
@@ -7,15 +7,16 @@
 	"github.com/matryer/is"
 )
 
-func TestPausedProcessIsNoticed(t *testing.T) {
+func TestPauseIsNoticedByEitherLoop(t *testing.T) {
 	is := is.New(t)
 	c := newClock()
-	c.tick(10 * time.Second)
-	is.True(!c.paused(10*time.Second + beatEvery))
-	is.True(!c.paused(10*time.Second + pausedAfter))
-	is.True(c.paused(10*time.Second + pausedAfter + time.Millisecond))
-	c.tick(12 * time.Second)
-	is.True(!c.paused(12 * time.Second))
+	before := c.run(0)
+	is.Equal(c.run(beatEvery), before)
+	is.Equal(c.run(beatEvery+pausedAfter), before)
+	after := c.run(beatEvery + 2*pausedAfter + time.Millisecond)
+	is.Equal(after, before+1)
+	// The loop that runs second sees it as well.
+	is.Equal(c.run(beatEvery+2*pausedAfter+2*time.Millisecond), after)
 }
 
 func TestClockRunsForward(t *testing.T) {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -104,7 +104,7 @@
 			c.build(c.host.now())
 		case <-ticker.C:
 			now := c.host.now()
-			c.host.clock.tick(now)
+			c.host.clock.run(now)
 			c.peers.tick(now, c)
 		}
 	}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -71,7 +71,11 @@
 	// stale tells that the process was paused while the packets at hand came.
 	// An old SYN is dropped: its caller may have opened the flow by another
 	// host, and a second server would harm it.
-	stale    bool
+	stale bool
+	// pauses is how often the process was paused, and draining tells that the
+	// socket was not read empty since.
+	pauses   uint64
+	draining bool
 	counters Counters
 	lastAt   atomic.Int64
 	// tell takes pins for other hosts; it must not block.
@@ -188,7 +192,7 @@
 	now := t.now()
 	t.refresh(now)
 	t.resets = t.resets[:0]
-	t.stale = t.clock.paused(now)
+	t.judgeAge(now, n)
 	for i := range n {
 		t.packet(now, t.reader.Datagram(i))
 	}
@@ -220,6 +224,19 @@
 	t.current = p
 }
 
+// judgeAge decides whether the packets of a batch came while the process was
+// paused: until the socket was read empty after a pause.
+func (t *traffic) judgeAge(now time.Duration, n int) {
+	if p := t.clock.run(now); p != t.pauses {
+		t.pauses = p
+		t.draining = true
+	}
+	t.stale = t.draining
+	if n < batch.Size {
+		t.draining = false
+	}
+}
+
 // hear keeps pins of another host for the loop. Any thread may call it.
 func (t *traffic) hear(pins []steer.Pin) {
 	t.toldMu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -118,7 +118,7 @@
 	case ran > 0 && (o.Result == stub.Refused || o.Result == stub.NotOpened || o.Result == stub.Shed):
 		w.find("request %s ran, but its caller was told %s", id, o.Result)
 	case o.Result == stub.Broken && !lost:
-		w.find("flow of request %s was broken, no server was lost", id)
+		w.find("flow of request %s was broken, no server was lost: %s", id, o.Detail)
 	case calm && !lost && (o.Result == stub.Late || o.Result == stub.NotOpened || (o.Result == stub.Refused && route != idleRoute)):
 		w.find("request %s was %s with nothing disturbed", id, o.Result)
 	}
