--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -70,8 +70,9 @@
 
 // digest is what a host tells another in a datagram.
 type digest struct {
-	From    string `json:"from"`
-	Address string `json:"address"`
+	From       string `json:"from"`
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
 	// Revision is that of the sender's replica, and Age how long ago the
 	// sender knew that it was current.
 	Revision uint64        `json:"revision"`
@@ -97,9 +98,9 @@
 	id      uint64
 	address netip.AddrPort
 	heardAt time.Duration
-	// name and revision are what its latest digest said.
-	name     string
-	revision uint64
+	// name, dataCentre and revision are what its latest digest said.
+	name, dataCentre string
+	revision         uint64
 }
 
 // peers belongs to the control loop.
@@ -171,11 +172,13 @@
 		p.host.traffic.hear(d.Pins)
 	}
 	if from.name == "" {
-		p.host.traffic.wanted.Store(true)
+		if d.DataCentre == p.host.set.DataCentre {
+			p.host.traffic.wanted.Store(true)
+		}
 		p.host.log.Info("peers: host joined", zap.String("peer", d.From), zap.Stringer("address", a))
 		p.host.events.Add(event.Event{Kind: event.Joined, Peer: d.From})
 	}
-	from.heardAt, from.name, from.revision = now, d.From, d.Revision
+	from.heardAt, from.name, from.dataCentre, from.revision = now, d.From, d.DataCentre, d.Revision
 	p.watchers.Heard(now, from.id, d.Served)
 	if len(d.Items) > 0 && c.replica.Loaded() && c.replica.Revision() >= d.Since {
 		c.take(update{delta: &mirror.Delta{Revision: d.Revision, Items: d.Items}, source: d.From})
@@ -210,13 +213,18 @@
 	return size <= maxDigest-digestOverhead
 }
 
-// tellPins tells all peers the pins of flows, a few in a datagram.
+// tellPins tells the other hosts of this data centre the pins of flows, a few
+// in a datagram: the routers move flows between these.
 func (p *peers) tellPins(now time.Duration, pins []steer.Pin, c *control) {
 	for some := range slices.Chunk(pins, maxPins) {
 		d := p.digest(now, c)
 		d.Known = nil
 		d.Pins = some
-		p.tellAll(now, d)
+		for _, other := range p.known {
+			if other.dataCentre == p.host.set.DataCentre {
+				p.send(d, other.address)
+			}
+		}
 	}
 }
 
@@ -277,7 +285,7 @@
 // digest returns what this host knows.
 func (p *peers) digest(now time.Duration, c *control) *digest {
 	d := &digest{
-		From: p.host.set.Name, Address: p.host.set.Peer.String(),
+		From: p.host.set.Name, DataCentre: p.host.set.DataCentre, Address: p.host.set.Peer.String(),
 		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.host.served.Load(),
 	}
 	for range min(maxKnown, len(p.known)) {
