Let lapsed servers outlast a second outage of the store

Change: a lapsed server is taken as gone only if the store was heard of in the second half of the grace; the watch waits less meanwhile.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -44,12 +44,17 @@
 	// watchWait is how long a watch waits for changes. It bounds how long a
 	// watch whose answer is lost goes unnoticed.
 	watchWait = 1200 * time.Millisecond
+	// lapseWait is the same while it is open whether servers come back.
+	lapseWait = 400 * time.Millisecond
 	// firstGrace is how much longer than its wait a watch may take; each loss
 	// in a row doubles it up to maxGrace, since the store may be slow.
 	firstGrace = 400 * time.Millisecond
 	maxGrace   = 3200 * time.Millisecond
 	// watchPause is the pause after changes, in which further ones gather.
 	watchPause = 800 * time.Millisecond
+	// rebuildEvery is how often a view is built anew that waits for news of
+	// the store.
+	rebuildEvery = 200 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a refused call.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = time.Second
@@ -144,7 +149,7 @@
 	servers := map[string]*fleet.Server{}
 	c.replica.Items(func(i mirror.Item) { c.decode(i, servers) })
 	former := c.version
-	view := c.builder.Build(now, c.replica.Revision(), c.document, servers)
+	view := c.builder.Build(now, now-c.replica.Age(now), c.replica.Revision(), c.document, servers)
 	if c.version = view.Version; c.version != former {
 		c.host.events.Add(event.Event{Kind: event.Adopted, Revision: view.Version})
 	}
@@ -152,8 +157,10 @@
 		zap.Int("servers", len(servers)), zap.Int("routes", len(view.Routes)))
 	c.put(now, view)
 	c.firstView(view)
-	if next := c.builder.Next(); next > 0 {
-		c.rebuild.Reset(max(0, next-now) + time.Millisecond)
+	next := c.builder.Next()
+	c.host.lapsing.Store(next > 0)
+	if next > 0 {
+		c.rebuild.Reset(max(next-now, rebuildEvery))
 	}
 }
 
@@ -261,11 +268,15 @@
 	revision := h.revision.Load()
 	at := h.now()
 	h.storeCalls.Add(1)
+	wait := watchWait
+	if h.lapsing.Load() {
+		wait = lapseWait
+	}
 	d := &mirror.Delta{Whole: revision == 0 || h.whole.Load()}
 	if d.Whole {
 		d.Items, d.Revision, err = h.set.Store.Read(ctx)
 	} else {
-		d.Items, d.Revision, err = h.set.Store.Watch(ctx, revision, watchWait, grace)
+		d.Items, d.Revision, err = h.set.Store.Watch(ctx, revision, wait, grace)
 		if len(d.Items) == 0 {
 			at = h.now()
 		}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -82,6 +82,8 @@
 	revision atomic.Uint64
 	// whole asks the watch loop to read the whole state.
 	whole atomic.Bool
+	// lapsing tells that servers' entries vanished and may come back.
+	lapsing atomic.Bool
 	// watch tells that it is this host's turn to watch the store, and served
 	// that the store served its latest call.
 	watch, served, storeAway atomic.Bool
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -17,7 +17,9 @@
 	FlowLifetime time.Duration
 	// LapseGrace is how long a server that was ready stays in use after its
 	// entry vanished: the store may have been away, and the server writes its
-	// entry again. The default is 2 s.
+	// entry again. If the store is not heard of in the second half of it, the
+	// server stays in use, since the store may be away again. The default is
+	// 2 s.
 	LapseGrace time.Duration
 }
 
@@ -36,6 +38,8 @@
 	routes map[netip.AddrPort]*routeRecord
 	// next is when the view changes by itself; 0 means never.
 	next time.Duration
+	// confirmed is when the state was known to be current.
+	confirmed time.Duration
 }
 
 type record struct {
@@ -66,10 +70,12 @@
 	}
 }
 
-// Build returns the view of a state of the store: the document, or nil if none
-// is known, and the servers' entries by ID.
-func (b *Builder) Build(now time.Duration, revision uint64, doc *Document, servers map[string]*Server) *View {
+// Build returns the view of a state of the store, which was known to be current
+// at the time confirmed: the document, or nil if none is known, and the servers'
+// entries by ID.
+func (b *Builder) Build(now, confirmed time.Duration, revision uint64, doc *Document, servers map[string]*Server) *View {
 	b.next = 0
+	b.confirmed = confirmed
 	b.noteServers(now, servers)
 	v := &View{
 		Revision: revision,
@@ -87,8 +93,8 @@
 	return v
 }
 
-// Next returns when the view changes by itself, 0 for never: the embedder
-// builds it anew then.
+// Next returns when the view may change by itself, 0 for never: the embedder
+// builds it anew then, and again until Next is later.
 func (b *Builder) Next() time.Duration { return b.next }
 
 func (b *Builder) wakeAt(t time.Duration) {
@@ -178,7 +184,7 @@
 		return true
 	}
 	end := r.gone + b.set.LapseGrace
-	if now >= end {
+	if now >= end && b.confirmed >= end-b.set.LapseGrace/2 {
 		return false
 	}
 	b.wakeAt(end)
--- a/pkg/fleet/builder_test.go
+++ b/pkg/fleet/builder_test.go
@@ -61,7 +61,7 @@
 			builder := NewBuilder(Settings{})
 			var v *View
 			for i, s := range tt.states {
-				v = builder.Build(time.Duration(i)*time.Second, uint64(i), document(1, "desk"), s)
+				v = builder.Build(time.Duration(i)*time.Second, time.Duration(i)*time.Second, uint64(i), document(1, "desk"), s)
 			}
 			usable(is, v, "desk", tt.want...)
 		})
@@ -71,20 +71,32 @@
 func TestViewChangesWhenALapseIsOver(t *testing.T) {
 	is := is.New(t)
 	b := NewBuilder(Settings{})
-	b.Build(0, 1, document(1, "desk"), byID(server("a", "desk", "10.0.0.1:80", Ready)))
-	b.Build(time.Second, 2, document(1, "desk"), nil)
+	b.Build(0, 0, 1, document(1, "desk"), byID(server("a", "desk", "10.0.0.1:80", Ready)))
+	b.Build(time.Second, time.Second, 2, document(1, "desk"), nil)
 	is.Equal(b.Next(), 3*time.Second)
-	usable(is, b.Build(3*time.Second, 2, document(1, "desk"), nil), "desk")
+	usable(is, b.Build(3*time.Second, 3*time.Second, 2, document(1, "desk"), nil), "desk")
 	is.Equal(b.Next(), time.Duration(0))
 }
 
+// TestLapsedServersOutlastASecondOutage is what soak seeds 227 and 230 found:
+// the entries lapse while the store is away, and the store goes away again
+// before the servers are back.
+func TestLapsedServersOutlastASecondOutage(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{})
+	b.Build(0, 0, 1, document(1, "desk"), byID(server("a", "desk", "10.0.0.1:80", Ready)))
+	b.Build(time.Second, time.Second, 2, document(1, "desk"), nil)
+	usable(is, b.Build(time.Minute, 1900*time.Millisecond, 2, document(1, "desk"), nil), "desk", "a")
+	usable(is, b.Build(time.Minute, 2*time.Second, 2, document(1, "desk"), nil), "desk")
+}
+
 func TestServerOutlivesItsEntryForOpenFlows(t *testing.T) {
 	is := is.New(t)
 	b := NewBuilder(Settings{FlowLifetime: time.Minute})
-	v := b.Build(0, 1, document(1, "desk"), byID(server("a", "desk", "10.0.0.1:80", Ready)))
+	v := b.Build(0, 0, 1, document(1, "desk"), byID(server("a", "desk", "10.0.0.1:80", Ready)))
 	m := v.Usable["desk"][0].Mark
-	is.Equal(b.Build(59*time.Second, 2, document(1, "desk"), nil).Marked[m].ID, "a")
-	is.Equal(b.Build(120*time.Second, 2, document(1, "desk"), nil).Marked[m], nil)
+	is.Equal(b.Build(59*time.Second, 59*time.Second, 2, document(1, "desk"), nil).Marked[m].ID, "a")
+	is.Equal(b.Build(120*time.Second, 120*time.Second, 2, document(1, "desk"), nil).Marked[m], nil)
 }
 
 func TestAddressUsedAgainBelongsToTheLatestServer(t *testing.T) {
@@ -94,7 +106,7 @@
 	old.Started = time.UnixMilli(1000)
 	next := server("next", "press", "10.0.0.1:80", Ready)
 	next.Started = time.UnixMilli(2000)
-	v := b.Build(0, 1, document(1, "desk"), byID(old, next))
+	v := b.Build(0, 0, 1, document(1, "desk"), byID(old, next))
 	usable(is, v, "desk")
 	usable(is, v, "press", "next")
 	is.Equal(len(v.Marked), 2)
@@ -103,26 +115,26 @@
 func TestOpenFlowsOfAMovedRouteStayAllowed(t *testing.T) {
 	is := is.New(t)
 	b := NewBuilder(Settings{FlowLifetime: time.Minute})
-	b.Build(0, 1, document(1, "desk"), nil)
-	v := b.Build(time.Second, 2, document(2, "press"), nil)
+	b.Build(0, 0, 1, document(1, "desk"), nil)
+	v := b.Build(time.Second, time.Second, 2, document(2, "press"), nil)
 	is.True(v.Routes[deskRoute].Allows("desk"))
 	is.True(v.Routes[deskRoute].Allows("press"))
 	is.True(!v.Routes[deskRoute].Allows("other"))
 	is.Equal(v.Routes[deskRoute].Targets[0].Service, "press")
-	v = b.Build(2*time.Minute, 2, document(2, "press"), nil)
+	v = b.Build(2*time.Minute, 2*time.Minute, 2, document(2, "press"), nil)
 	is.True(!v.Routes[deskRoute].Allows("desk"))
 }
 
 func TestRemovedRouteTakesNoNewFlows(t *testing.T) {
 	is := is.New(t)
 	b := NewBuilder(Settings{FlowLifetime: time.Minute})
-	b.Build(0, 1, document(1, "desk"), nil)
+	b.Build(0, 0, 1, document(1, "desk"), nil)
 	empty := &Document{Version: 2}
-	v := b.Build(time.Second, 2, empty, nil)
+	v := b.Build(time.Second, time.Second, 2, empty, nil)
 	is.Equal(len(v.Routes[deskRoute].Targets), 0)
 	is.True(v.Routes[deskRoute].Allows("desk"))
 	is.Equal(v.Routes[pressRoute], nil)
-	is.Equal(b.Build(2*time.Minute, 3, empty, nil).Routes[deskRoute], nil)
+	is.Equal(b.Build(2*time.Minute, 2*time.Minute, 3, empty, nil).Routes[deskRoute], nil)
 }
 
 func TestWarmupCountsFromTheEntry(t *testing.T) {
@@ -130,9 +142,9 @@
 	b := NewBuilder(Settings{})
 	s := server("a", "desk", "10.0.0.1:80", Ready)
 	s.WarmFor = 2 * time.Second
-	v := b.Build(time.Second, 1, document(1, "desk"), byID(s))
+	v := b.Build(time.Second, time.Second, 1, document(1, "desk"), byID(s))
 	is.Equal(v.Usable["desk"][0].WarmUntil, 3*time.Second)
 	again := *s
-	v = b.Build(2*time.Second, 2, document(1, "desk"), byID(&again))
+	v = b.Build(2*time.Second, 2*time.Second, 2, document(1, "desk"), byID(&again))
 	is.Equal(v.Usable["desk"][0].WarmUntil, 3*time.Second)
 }
