Check the bounds in calm parts of the soak; mutations of the product

Cause: faults came all the time, so the bounds, which hold only while nothing is disturbed, were hardly checked. The mutation 'leaving ignored' then hung: a release held the soak's lock while it waited for a server's.

--- /dev/null
+++ b/.ci/mutants.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Shows that the soak can fail: each mutation of the product has to be found
+# within a few seeds. Usage: .ci/mutants.sh
+set -euo pipefail
+cd "$(dirname "$0")/.."
+work="$(mktemp -d)"
+trap 'rm -rf "$work"' EXIT
+
+# mutant NAME FILE FROM TO changes one line and expects findings.
+mutant() {
+  local name="$1" file="$2" from="$3" to="$4"
+  rm -rf "$work/tree"
+  mkdir "$work/tree"
+  git ls-files -z -- '*.go' go.mod go.sum internal pkg | xargs -0 cp --parents -t "$work/tree"
+  grep -qF -- "$from" "$file" || { echo "mutant $name: $file has no line: $from"; exit 1; }
+  python3 -c 'import sys; p, a, b = sys.argv[1:]; s = open(p).read(); open(p, "w").write(s.replace(a, b, 1))' "$work/tree/$file" "$from" "$to"
+  (cd "$work/tree" && go build -o "$work/bin/" ./cmd/lagoonramp ./cmd/rampbench)
+  for seed in 1 2 3; do
+    if ! timeout 90 "$work/bin/rampbench" soak --seed "$seed" --duration 20s >"$work/out" 2>&1; then
+      echo "mutant $name: found with seed $seed: $(grep -c ' s: ' "$work/out") findings, first: $(grep -m1 ' s: ' "$work/out")"
+      return
+    fi
+  done
+  echo "mutant $name: NOT FOUND"
+  exit 1
+}
+
+mutant "marks forgotten" pkg/steer/table.go "	s := t.view.Marked[m]
+	if s == nil {" "	s := t.choose(0, t.view.Marked[m].Service, nil)
+	if s == nil {"
+mutant "leaving ignored" pkg/fleet/builder.go "	if r.server.State != Ready {" "	if false {"
+mutant "view never changes" internal/entry/control.go "	if changed {
+		c.build(now)
+	}" "	if changed && !c.viewed {
+		c.build(now)
+	}"
+mutant "replica goes back" pkg/mirror/mirror.go "old.Revision >= i.Revision" "old.Revision > i.Revision+3"
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -25,6 +25,10 @@
 	// hold.
 	calmFor    = 4 * time.Second
 	reuseDelay = 2 * time.Second
+	// In the first part of each cycle faults come; then only planned work goes
+	// on, so that the bounds hold and are checked.
+	cycle     = 18 * time.Second
+	roughPart = 7 * time.Second
 	// lapseBack is within what time servers are back after the store is.
 	lapseBack = 1500 * time.Millisecond
 )
@@ -72,6 +76,9 @@
 	running := 0
 	for time.Since(w.began) < w.set.Duration {
 		f := faults[w.rng.IntN(len(faults))]
+		if !f.planned && time.Since(w.began)%cycle > roughPart {
+			continue
+		}
 		lasts := 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(3*time.Second)))
 		running++
 		w.note("fault: %s for %v", f.name, lasts)
@@ -202,8 +209,8 @@
 		w.find("a server does not start: %v", err)
 		return
 	}
+	old.Drain() // Not under the lock: servers take it while they hold theirs.
 	w.mu.Lock()
-	old.Drain()
 	w.store.Put(old.Key(), old.Entry("draining"))
 	old.leftAt = time.Now()
 	w.mu.Unlock()
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -85,7 +85,6 @@
 	}
 	if doc != nil {
 		v.Version = doc.Version
-		v.IdleTimeout = doc.IdleTimeout
 		b.noteRoutes(now, doc)
 	}
 	b.addServers(now, v)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -67,11 +67,8 @@
 // Document is a configuration of the operators.
 type Document struct {
 	// Version rises with each document.
-	Version  uint64
-	Routes   []Route
-	Services []string
-	// IdleTimeout is how long an idle flow is kept; 0 means without limit.
-	IdleTimeout time.Duration
+	Version uint64
+	Routes  []Route
 }
 
 // Path is a route as the view knows it.
@@ -104,9 +101,8 @@
 	// Version is the version of the operators' document, 0 if none is known.
 	Version uint64
 	// Revision is the store's revision that the view is of.
-	Revision    uint64
-	IdleTimeout time.Duration
-	Routes      map[netip.AddrPort]*Path
+	Revision uint64
+	Routes   map[netip.AddrPort]*Path
 	// Usable holds the servers for new flows, by service, in order of their
 	// IDs.
 	Usable map[string][]*Server
