--- /dev/null
+++ b/internal/entry/digest.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/pkg/steer"
+)
+
+// digest is what a host tells another in a datagram.
+type digest struct {
+	From       string `json:"from"`
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
+	// Revision is that of the sender's replica, and Age how long ago the
+	// sender knew that it was current.
+	Revision uint64        `json:"revision"`
+	Age      time.Duration `json:"age"`
+	// Served tells that the store serves the sender.
+	Served bool `json:"served,omitempty"`
+	// Known are addresses of other hosts.
+	Known []string `json:"known,omitempty"`
+	// Since and Items are the changes from Since to Revision, if they fit.
+	Since uint64        `json:"since,omitempty"`
+	Items []mirror.Item `json:"items,omitempty"`
+	// Pins are flows whose marks may be wrong.
+	Pins []steer.Pin `json:"pins,omitempty"`
+}
+
+// digest returns what this host knows.
+func (p *peers) digest(now time.Duration, c *control) *digest {
+	d := &digest{
+		From: p.host.set.Name, DataCentre: p.host.set.DataCentre, Address: p.host.set.Peer.String(),
+		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.host.served.Load(),
+	}
+	for range min(maxKnown, len(p.known)) {
+		d.Known = append(d.Known, p.any().address.String())
+	}
+	return d
+}
+
+// fits reports whether a digest fits a datagram with its changes.
+func (p *peers) fits(d *digest) bool {
+	size := 0
+	for _, i := range d.Items {
+		size += len(i.Key) + base64.StdEncoding.EncodedLen(len(i.Value)) + itemOverhead
+	}
+	return size <= maxDigest-digestOverhead
+}
+
+// send sends a digest, without its changes if they do not fit.
+func (p *peers) send(d *digest, to netip.AddrPort) {
+	if !p.fits(d) {
+		short := *d
+		short.Items, short.Since = nil, 0
+		d = &short
+	}
+	b, err := json.Marshal(d)
+	if err == nil {
+		p.host.digestsSent.Add(1)
+		_, err = p.conn.WriteToUDPAddrPort(b, to)
+	}
+	if err != nil {
+		p.host.log.Debug("peers: a digest was not sent", zap.Stringer("peer", to), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/entry/fetch.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/pkg/spread"
+)
+
+// fetch gets the state of a peer that is ahead.
+func (p *peers) fetch(f *spread.Fetch) {
+	if f == nil || p.known[f.Peer] == nil {
+		return
+	}
+	go p.host.runFetch(*f, p.known[f.Peer].address)
+}
+
+// runFetch asks a peer for its state and hands it to the control loop.
+func (h *Host) runFetch(f spread.Fetch, from netip.AddrPort) {
+	started := h.now()
+	h.fetches.Add(1)
+	d, err := fetchState(h.client, from, h.revision.Load())
+	h.post(func(c *control) {
+		if err != nil {
+			h.log.Warn("peers: a state was not fetched", zap.Stringer("peer", from), zap.Error(err))
+			c.peers.machine.Failed(h.now(), f)
+			return
+		}
+		c.take(update{delta: d, confirmed: d.Revision, at: started - d.Age, source: from.String()})
+	})
+}
+
+// fetchState asks a host for what changed after a revision.
+func fetchState(client *http.Client, from netip.AddrPort, revision uint64) (*mirror.Delta, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/state?after=%d", from, revision)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "ask %s for its state", from)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, eris.Wrapf(err, "ask %s for its state", from)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("ask %s for its state: status %d", from, resp.StatusCode)
+	}
+	var d mirror.Delta
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&d); err != nil {
+		return nil, eris.Wrapf(err, "decode the state of %s", from)
+	}
+	return &d, nil
+}
+
+// stateHandler gives peers what changed after a revision.
+func (h *Host) stateHandler(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a revision", http.StatusBadRequest)
+		return
+	}
+	var d mirror.Delta
+	loaded := false
+	h.call(func(c *control) {
+		loaded = c.replica.Loaded()
+		d = c.replica.Since(h.now(), after)
+	})
+	if !loaded {
+		http.Error(w, "the host knows no state yet", http.StatusServiceUnavailable)
+		return
+	}
+	h.writeCompressed(w, &d)
+}
+
+// writeCompressed writes a state, compressed; peers' clients decompress it.
+func (h *Host) writeCompressed(w http.ResponseWriter, d *mirror.Delta) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err == nil {
+		err = json.NewEncoder(z).Encode(d)
+	}
+	if err == nil {
+		err = z.Close()
+	}
+	if err != nil {
+		h.log.Debug("peers: a state was not given", zap.Error(err))
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,22 +1,13 @@
 package entry
 
 import (
-	"cmp"
-	"compress/gzip"
-	"context"
-	"encoding/base64"
 	"encoding/json"
-	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"lagoonramp.org/lagoonramp/internal/event"
@@ -68,31 +59,6 @@
 	hostRecords = "hosts/"
 )
 
-// digest is what a host tells another in a datagram.
-type digest struct {
-	From       string `json:"from"`
-	DataCentre string `json:"dataCentre"`
-	Address    string `json:"address"`
-	// Revision is that of the sender's replica, and Age how long ago the
-	// sender knew that it was current.
-	Revision uint64        `json:"revision"`
-	Age      time.Duration `json:"age"`
-	// Served tells that the store serves the sender.
-	Served bool `json:"served,omitempty"`
-	// Known are addresses of other hosts.
-	Known []string `json:"known,omitempty"`
-	// Since and Items are the changes from Since to Revision, if they fit.
-	Since uint64        `json:"since,omitempty"`
-	Items []mirror.Item `json:"items,omitempty"`
-	// Pins are flows whose marks may be wrong.
-	Pins []steer.Pin `json:"pins,omitempty"`
-}
-
-// hostRecord is what a host writes of itself to the store.
-type hostRecord struct {
-	Address string `json:"address"`
-}
-
 // peer is another host.
 type peer struct {
 	id      uint64
@@ -204,15 +170,6 @@
 	}
 }
 
-// fits reports whether a digest fits a datagram with its changes.
-func (p *peers) fits(d *digest) bool {
-	size := 0
-	for _, i := range d.Items {
-		size += len(i.Key) + base64.StdEncoding.EncodedLen(len(i.Value)) + itemOverhead
-	}
-	return size <= maxDigest-digestOverhead
-}
-
 // tellPins tells the other hosts of this data centre the pins of flows, a few
 // in a datagram: the routers move flows between these.
 func (p *peers) tellPins(now time.Duration, pins []steer.Pin, c *control) {
@@ -282,118 +239,6 @@
 	return p.known[ids[rand.IntN(len(ids))]]
 }
 
-// digest returns what this host knows.
-func (p *peers) digest(now time.Duration, c *control) *digest {
-	d := &digest{
-		From: p.host.set.Name, DataCentre: p.host.set.DataCentre, Address: p.host.set.Peer.String(),
-		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.host.served.Load(),
-	}
-	for range min(maxKnown, len(p.known)) {
-		d.Known = append(d.Known, p.any().address.String())
-	}
-	return d
-}
-
-// send sends a digest, without its changes if they do not fit.
-func (p *peers) send(d *digest, to netip.AddrPort) {
-	if !p.fits(d) {
-		short := *d
-		short.Items, short.Since = nil, 0
-		d = &short
-	}
-	b, err := json.Marshal(d)
-	if err == nil {
-		p.host.digestsSent.Add(1)
-		_, err = p.conn.WriteToUDPAddrPort(b, to)
-	}
-	if err != nil {
-		p.host.log.Debug("peers: a digest was not sent", zap.Stringer("peer", to), zap.Error(err))
-	}
-}
-
-// fetch gets the state of a peer that is ahead.
-func (p *peers) fetch(f *spread.Fetch) {
-	if f == nil || p.known[f.Peer] == nil {
-		return
-	}
-	go p.host.runFetch(*f, p.known[f.Peer].address)
-}
-
-// runFetch asks a peer for its state and hands it to the control loop.
-func (h *Host) runFetch(f spread.Fetch, from netip.AddrPort) {
-	started := h.now()
-	h.fetches.Add(1)
-	d, err := fetchState(h.client, from, h.revision.Load())
-	h.post(func(c *control) {
-		if err != nil {
-			h.log.Warn("peers: a state was not fetched", zap.Stringer("peer", from), zap.Error(err))
-			c.peers.machine.Failed(h.now(), f)
-			return
-		}
-		c.take(update{delta: d, confirmed: d.Revision, at: started - d.Age, source: from.String()})
-	})
-}
-
-// fetchState asks a host for what changed after a revision.
-func fetchState(client *http.Client, from netip.AddrPort, revision uint64) (*mirror.Delta, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	url := fmt.Sprintf("http://%s/state?after=%d", from, revision)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, eris.Wrapf(err, "ask %s for its state", from)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, eris.Wrapf(err, "ask %s for its state", from)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("ask %s for its state: status %d", from, resp.StatusCode)
-	}
-	var d mirror.Delta
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&d); err != nil {
-		return nil, eris.Wrapf(err, "decode the state of %s", from)
-	}
-	return &d, nil
-}
-
-// stateHandler gives peers what changed after a revision.
-func (h *Host) stateHandler(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after must be a revision", http.StatusBadRequest)
-		return
-	}
-	var d mirror.Delta
-	loaded := false
-	h.call(func(c *control) {
-		loaded = c.replica.Loaded()
-		d = c.replica.Since(h.now(), after)
-	})
-	if !loaded {
-		http.Error(w, "the host knows no state yet", http.StatusServiceUnavailable)
-		return
-	}
-	h.writeCompressed(w, &d)
-}
-
-// writeCompressed writes a state, compressed; peers' clients decompress it.
-func (h *Host) writeCompressed(w http.ResponseWriter, d *mirror.Delta) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Encoding", "gzip")
-	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
-	if err == nil {
-		err = json.NewEncoder(z).Encode(d)
-	}
-	if err == nil {
-		err = z.Close()
-	}
-	if err != nil {
-		h.log.Debug("peers: a state was not given", zap.Error(err))
-	}
-}
-
 // readLoop takes digests until the socket is closed.
 func (p *peers) readLoop() {
 	buf := make([]byte, 2*maxDigest)
@@ -413,46 +258,3 @@
 		p.host.post(func(c *control) { p.heard(p.host.now(), &d, c) })
 	}
 }
-
-// announce writes the own record to the store, unless it is there, and learns
-// of the hosts that the store names.
-func (p *peers) announce(now time.Duration, c *control) {
-	p.announceAt = now + announceEvery
-	own := p.host.set.Peer.String()
-	there := false
-	var found []string
-	c.replica.Items(func(i mirror.Item) {
-		key, ok := p.host.set.Decoder.Own(i)
-		if !ok || len(key) < len(hostRecords) || key[:len(hostRecords)] != hostRecords {
-			return
-		}
-		var r hostRecord
-		if err := json.Unmarshal(i.Value, &r); err != nil {
-			p.host.log.Warn("peers: a host's record was not understood", zap.String("key", i.Key), zap.Error(err))
-			return
-		}
-		there = there || r.Address == own
-		found = append(found, r.Address)
-	})
-	for _, f := range slices.SortedFunc(slices.Values(found), cmp.Compare[string]) {
-		if a, err := netip.ParseAddrPort(f); err == nil {
-			p.learn(now, a)
-		}
-	}
-	p.setHosts()
-	if !there {
-		go p.host.runAnnounce(hostRecord{Address: own})
-	}
-}
-
-// runAnnounce writes the host's record to the store.
-func (h *Host) runAnnounce(r hostRecord) {
-	value, err := json.Marshal(&r)
-	if err == nil {
-		h.storeCalls.Add(2)
-		err = h.set.Store.Announce(context.Background(), hostRecords+h.set.Name, value, announceTTL)
-	}
-	if err != nil {
-		h.log.Warn("peers: the host's record was not written", zap.Error(err))
-	}
-}
