A host that has just started asks peers for what open flows still need

Ruled out: the replica's removed items, which would have to carry their last values to every host with each change; the builder has what is needed, servers that departed and services that routes led to, with their ages. Change: GET /remnants between hosts, asked once after the first view, until a peer answers that runs for longer than flows last, at most four. Found on the way: a route that had not changed for a flow's lifetime lost its former service at once when it was led elsewhere, so that open flows went silent; TestRouteChangesAfterALongQuietTime fails before.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -13,7 +12,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"lagoonramp.org/lagoonramp/internal/event"
@@ -29,6 +27,7 @@
 func (h *Host) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", h.stateHandler)
+	mux.HandleFunc("GET "+remnantsPath, h.remnantsHandler)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { h.writeJSON(w, h.Status()) })
 	mux.HandleFunc("GET /events", func(w http.ResponseWriter, r *http.Request) {
 		events, _ := h.events.List(filterOf(r))
@@ -163,16 +162,7 @@
 func (h *Host) askPeer(ctx context.Context, a netip.AddrPort, path string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+path, nil)
-	if err != nil {
-		return eris.Wrapf(err, "ask %s", a)
-	}
-	resp, err := h.client.Do(req)
-	if err != nil {
-		return eris.Wrapf(err, "ask %s", a)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return eris.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(out), "decode the answer of %s", a)
+	return getJSON(ctx, h.client, a, path, out)
 }
 
 // filterOf reads the filter of a request for events.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -212,3 +212,27 @@
 	is.Equal(get("/metrics").StatusCode, http.StatusOK)
 	is.Equal(get("/readyz").StatusCode, http.StatusOK)
 }
+
+// TestRestartedHostKnowsServersThatLapsed moves a flow to a host that started
+// after the entry of the flow's server had lapsed.
+func TestRestartedHostKnowsServersThatLapsed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.start(2, 1)
+	w.router.Remove("h2") // The flow goes by the first host.
+	ended := make(chan stub.Outcome)
+	go func() {
+		ended <- w.caller.Do(entryRoute, "long", 300_000, 6*time.Second, 15*time.Second)
+	}()
+	w.eventually("the request runs", func() bool { return w.ledger.Ran("long") == 1 })
+	w.store.Delete(w.servers[0].Key())
+	for _, h := range w.hosts {
+		w.eventually("a host knows that the entry is gone", func() bool { return w.knows(h, 1) })
+	}
+	fresh := w.startHost(3)
+	w.eventually("the fresh host is ready", func() bool { return w.knows(fresh, 1) })
+	w.router.Remove("h1")
+	w.hosts[0].kill()
+	is.Equal((<-ended).Result, stub.Answered)
+	w.unharmed()
+}
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -42,26 +42,28 @@
 
 // fetchState asks a host for what changed after a revision.
 func fetchState(client *http.Client, from netip.AddrPort, revision uint64) (*mirror.Delta, error) {
+	var d mirror.Delta
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/state?after=%d", from, revision)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	return &d, getJSON(ctx, client, from, fmt.Sprintf("/state?after=%d", revision), &d)
+}
+
+// getJSON asks a host for a path and decodes its answer.
+func getJSON(ctx context.Context, client *http.Client, from netip.AddrPort, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+path, nil)
 	if err != nil {
-		return nil, eris.Wrapf(err, "ask %s for its state", from)
+		return eris.Wrapf(err, "ask %s for %s", from, path)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, eris.Wrapf(err, "ask %s for its state", from)
+		return eris.Wrapf(err, "ask %s for %s", from, path)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("ask %s for its state: status %d", from, resp.StatusCode)
-	}
-	var d mirror.Delta
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&d); err != nil {
-		return nil, eris.Wrapf(err, "decode the state of %s", from)
+		return fmt.Errorf("ask %s for %s: status %d", from, path, resp.StatusCode)
 	}
-	return &d, nil
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(out)
+	return eris.Wrapf(err, "decode the answer of %s to %s", from, path)
 }
 
 // stateHandler gives peers what changed after a revision.
@@ -84,18 +86,18 @@
 	h.writeCompressed(w, &d)
 }
 
-// writeCompressed writes a state, compressed; peers' clients decompress it.
-func (h *Host) writeCompressed(w http.ResponseWriter, d *mirror.Delta) {
+// writeCompressed writes an answer, compressed; peers' clients decompress it.
+func (h *Host) writeCompressed(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Encoding", "gzip")
 	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
 	if err == nil {
-		err = json.NewEncoder(z).Encode(d)
+		err = json.NewEncoder(z).Encode(v)
 	}
 	if err == nil {
 		err = z.Close()
 	}
 	if err != nil {
-		h.log.Debug("peers: a state was not given", zap.Error(err))
+		h.log.Debug("peers: an answer was not given", zap.Error(err))
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -76,8 +76,9 @@
 	machine  *spread.Machine
 	watchers *spread.Watchers
 	// known holds the other hosts by the hash of their address.
-	known  map[uint64]*peer
-	tellAt time.Duration
+	known    map[uint64]*peer
+	tellAt   time.Duration
+	recalled recall
 	// announceAt is when the own record is looked for in the store.
 	announceAt time.Duration
 }
@@ -195,6 +196,7 @@
 		}
 	}
 	p.fetch(p.machine.Tick(now))
+	p.recall(now, c)
 	if now >= p.tellAt {
 		p.tell(now, c)
 	}
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -200,10 +200,12 @@
 		}
 	}
 	for a, r := range b.routes {
-		r.targets = current[a]
-		for _, t := range r.targets {
+		// The view may have been built last long ago: until now, flows began
+		// at the targets that the route leaves.
+		for _, t := range slices.Concat(r.targets, current[a]) {
 			r.until[t.Service] = now + b.set.FlowLifetime
 		}
+		r.targets = current[a]
 	}
 }
 
@@ -213,7 +215,6 @@
 		p := &Path{Targets: r.targets}
 		for service, until := range r.until {
 			if isTarget(r.targets, service) {
-				r.until[service] = now + b.set.FlowLifetime
 				continue
 			}
 			if now >= until {
--- a/pkg/fleet/builder_test.go
+++ b/pkg/fleet/builder_test.go
@@ -148,3 +148,18 @@
 	v = b.Build(2*time.Second, 2*time.Second, 2, document(1, "desk"), byID(&again))
 	is.Equal(v.Usable["desk"][0].WarmUntil, 3*time.Second)
 }
+
+// TestRouteChangesAfterALongQuietTime checks that a service is a former one for
+// a flow's lifetime from the change on, however long ago the view was built
+// before.
+func TestRouteChangesAfterALongQuietTime(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{})
+	b.Build(0, 0, 1, document(1, "desk"), nil)
+	v := b.Build(time.Hour, time.Hour, 2, document(2, "other"), nil)
+	is.True(v.Routes[deskRoute].Allows("desk"))
+	v = b.Build(time.Hour+59*time.Second, time.Hour, 2, document(2, "other"), nil)
+	is.True(v.Routes[deskRoute].Allows("desk"))
+	v = b.Build(time.Hour+61*time.Second, time.Hour, 2, document(2, "other"), nil)
+	is.True(!v.Routes[deskRoute].Allows("desk"))
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -29,25 +29,25 @@
 // Server is a backend server's entry.
 type Server struct {
 	// ID names the server; a restart may keep it.
-	ID string
+	ID string `json:"id"`
 	// Token is the number by which the server recognises packets that are
 	// meant for it.
-	Token      uint64
-	Service    string
-	Address    netip.AddrPort
-	DataCentre string
+	Token      uint64         `json:"token"`
+	Service    string         `json:"service"`
+	Address    netip.AddrPort `json:"address"`
+	DataCentre string         `json:"dataCentre"`
 	// Slots is how many requests the server runs at a time, at least 1.
-	Slots int
-	State State
+	Slots int   `json:"slots"`
+	State State `json:"state"`
 	// WarmFor is how long the server stays slow after it wrote the entry.
-	WarmFor time.Duration
+	WarmFor time.Duration `json:"warmFor"`
 	// Started is when the server's process started; it may be zero.
-	Started time.Time
+	Started time.Time `json:"started"`
 	// Mark names the server in packets. It is never 0 and belongs to no other
 	// server of the view.
-	Mark uint32
-	// WarmUntil is when the server stops being slow.
-	WarmUntil time.Duration
+	Mark uint32 `json:"-"`
+	// WarmUntil is when the server stops being slow, by this host's clock.
+	WarmUntil time.Duration `json:"-"`
 }
 
 // Target is a service of a route with its share of the flows.
