A leaving host does not take moved flows for silent servers

Change: a host that leaves sends a SYN on only if a copy of it comes, which shows that the flow still comes here. Ruled out: sending none at all, which would lose flows of dead servers for the two seconds of leaving. Test: TestLeavingHostTakesNoMovedFlowForASilentServer (fails before).

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -242,6 +242,7 @@
 // leave goes on forwarding until the routers have turned away.
 func (h *Host) leave(hard context.Context) {
 	h.leaving.Store(true)
+	h.traffic.leaving.Store(true)
 	h.traffic.wanted.Store(true)
 	h.events.Add(event.Event{Kind: event.Stopping, Cause: "asked to stop"})
 	h.log.Info("entry: leaving, not ready any more")
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -68,6 +68,8 @@
 	clock   *clock
 	view    *atomic.Pointer[published]
 	current *published
+	// leaving tells that the routers are about to turn away.
+	leaving atomic.Bool
 	// stale tells that the process was paused while the packets at hand came.
 	// An old SYN is dropped: its caller may have opened the flow by another
 	// host, and a second server would harm it.
@@ -213,6 +215,9 @@
 
 func (t *traffic) refresh(now time.Duration) {
 	t.takeTold(now)
+	if t.leaving.Load() {
+		t.table.Leave()
+	}
 	p := t.view.Load()
 	if p == t.current {
 		return
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -55,6 +55,8 @@
 	// pins are those that other hosts are to be told.
 	pins    []Pin
 	sweepAt time.Duration
+	// leaving tells that flows of this host may go on by others.
+	leaving bool
 	opening [maxOpening]byte
 }
 
@@ -136,6 +138,9 @@
 	}
 }
 
+// Leave says that the routers are about to turn away from this host.
+func (t *Table) Leave() { t.leaving = true }
+
 // Held returns how many flows are remembered.
 func (t *Table) Held() int { return len(t.flows) }
 
@@ -182,7 +187,9 @@
 	return Verdict{Action: Forward, Server: s}
 }
 
-// synCopy sends a copy of a SYN where the latest one went.
+// synCopy sends a copy of a SYN where the latest one went. At a host that
+// leaves, a copy shows what time alone does not: that the flow still comes here
+// and the server stayed silent.
 func (t *Table) synCopy(now time.Duration, f *flow) Verdict {
 	f.lastAt = now
 	if f.tries == 0 {
@@ -192,10 +199,16 @@
 	if m == 0 {
 		m = f.tried[f.tries-1]
 	}
-	if s := t.view.Marked[m]; s != nil {
-		return Verdict{Action: Forward, Server: s}
+	s := t.view.Marked[m]
+	if t.leaving && f.pinned == 0 && f.tries < t.set.Tries && (s == nil || now-f.sentAt >= t.centre(s.DataCentre).wait()) {
+		if next := t.sendOn(now, f); next != nil {
+			return Verdict{Action: Forward, Server: next}
+		}
+	}
+	if s == nil {
+		return Verdict{Action: Refuse, Reason: NoServer}
 	}
-	return Verdict{Action: Refuse, Reason: NoServer}
+	return Verdict{Action: Forward, Server: s}
 }
 
 // later decides for a packet after the SYN.
@@ -365,21 +378,34 @@
 	return Resend{}, false
 }
 
-// resend sends a flow's SYN to another server.
+// resend sends a flow's SYN to another server, unless the host leaves: the
+// routers may have moved the flow to a host that sees what this one misses.
 func (t *Table) resend(now time.Duration, f *flow) (Resend, bool) {
-	silent := f.tried[f.tries-1]
-	if h := t.servers[silent]; h != nil {
-		h.unanswered(now, f.sentAt)
+	if t.leaving {
+		return Resend{}, false
 	}
-	s := t.choose(now, f.service, f)
+	silent := f.tried[f.tries-1]
+	s := t.sendOn(now, f)
 	if s == nil {
 		return Resend{}, false
 	}
-	t.send(now, f, s)
 	n := copy(t.opening[:], f.opening[:f.length])
 	return Resend{Key: f.key, Server: s, Silent: t.view.Marked[silent], Opening: t.opening[:n]}, true
 }
 
+// sendOn notes that the latest server of a flow's SYN did not answer, and
+// returns the one that gets it next, or nil if none is left.
+func (t *Table) sendOn(now time.Duration, f *flow) *fleet.Server {
+	if h := t.servers[f.tried[f.tries-1]]; h != nil {
+		h.unanswered(now, f.sentAt)
+	}
+	s := t.choose(now, f.service, f)
+	if s != nil {
+		t.send(now, f, s)
+	}
+	return s
+}
+
 // newFlow begins to remember a flow.
 func (t *Table) newFlow(p *Packet, service string, raw []byte) *flow {
 	f := t.free
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -348,3 +348,19 @@
 		t.Due(now)
 	}
 }
+
+// TestLeavingHostTakesNoMovedFlowForASilentServer checks that a host from which
+// the routers turn away does not send SYNs to second servers because the rest
+// of the handshakes goes by other hosts.
+func TestLeavingHostTakesNoMovedFlowForASilentServer(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(1, "a", "b", "c")
+	first := table.testSyn(0, 1, 0).Server
+	table.Leave()
+	is.Equal(table.resendAll(time.Second), nil)
+	is.Equal(table.testSyn(2*time.Second, 2, 0).Action, Forward)
+	// A copy of the SYN shows that the flow still comes here.
+	v := table.testSyn(200*ms, 1, 1)
+	is.Equal(v.Action, Forward)
+	is.True(v.Server != first)
+}
