Tell all hosts in rounds by delegates, with the ages of who is known

Cause: a host that the store serves sent its digest to every other host each 0.4 s, 470 KB/s at 540 hosts (CAPACITY, beyond 9 KB/s); hosts that all fetch from the origin; dead hosts came back by what others named, since names carried no age; a restarted host was not told the pins of flows. Change: pkg/spread.Part splits a range of hosts among four delegates, which do the same (El-Ansary et al., 2003); one delegate for each other data centre. A host that is behind hands a round on when it has caught up, so that hosts fetch from whoever told them. Up to twelve hosts are told directly, as before. Digests name hosts with their data centre and the age of the news; hosts of which nobody heard for 3 min are forgotten. Ruled out: a fixed tree, which a dead host cuts for long; random gossip alone, which needs more messages for the same freshness. Before: 89 to 539 messages a round from one host. After: 4 and one for each other data centre (TestRoundsCostLittle); every host gets a round once, also with lists that differ (pkg/spread).

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
 	"strings"
 	"time"
 
@@ -13,9 +12,14 @@
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 )
 
+// recordAge is how long ago a host is taken to have been heard of that only the
+// store names.
+const recordAge = forgetPeer / 2
+
 // hostRecord is what a host writes of itself to the store.
 type hostRecord struct {
-	Address string `json:"address"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
 }
 
 // announce writes the own record to the store, unless it is there, and learns
@@ -24,7 +28,7 @@
 	p.announceAt = now + announceEvery
 	own := p.host.set.Peer.String()
 	there := false
-	var found []string
+	var found []hostRecord
 	c.replica.Items(func(i mirror.Item) {
 		key, ok := p.host.set.Decoder.Own(i)
 		if !ok || !strings.HasPrefix(key, hostRecords) {
@@ -36,16 +40,16 @@
 			return
 		}
 		there = there || r.Address == own
-		found = append(found, r.Address)
+		found = append(found, r)
 	})
-	for _, f := range slices.Sorted(slices.Values(found)) {
-		if a, err := netip.ParseAddrPort(f); err == nil {
-			p.learn(now, a)
+	for _, f := range found {
+		if a, err := netip.ParseAddrPort(f.Address); err == nil {
+			p.learn(now, a, f.DataCentre, now-recordAge)
 		}
 	}
 	p.setHosts()
 	if !there {
-		go p.host.runAnnounce(hostRecord{Address: own})
+		go p.host.runAnnounce(hostRecord{Address: own, DataCentre: p.host.set.DataCentre})
 	}
 }
 
--- a/internal/entry/digest.go
+++ b/internal/entry/digest.go
@@ -23,8 +23,10 @@
 	Age      time.Duration `json:"age"`
 	// Served tells that the store serves the sender.
 	Served bool `json:"served,omitempty"`
-	// Known are addresses of other hosts.
-	Known []string `json:"known,omitempty"`
+	// Known are other hosts.
+	Known []knownHost `json:"known,omitempty"`
+	// Round tells to whom the receiver hands the digest on; nil for nobody.
+	Round *round `json:"round,omitempty"`
 	// Since and Items are the changes from Since to Revision, if they fit.
 	Since uint64        `json:"since,omitempty"`
 	Items []mirror.Item `json:"items,omitempty"`
@@ -32,14 +34,23 @@
 	Pins []steer.Pin `json:"pins,omitempty"`
 }
 
-// digest returns what this host knows.
-func (p *peers) digest(now time.Duration, c *control) *digest {
+// knownHost is what a host tells of another.
+type knownHost struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre,omitempty"`
+	// Age is how long ago somebody heard of the host.
+	Age time.Duration `json:"age"`
+}
+
+// digest returns what this host knows, with some other hosts.
+func (p *peers) digest(now time.Duration, c *control, known int) *digest {
 	d := &digest{
 		From: p.host.set.Name, DataCentre: p.host.set.DataCentre, Address: p.host.set.Peer.String(),
 		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.host.served.Load(),
 	}
-	for range min(maxKnown, len(p.known)) {
-		d.Known = append(d.Known, p.any().address.String())
+	for range min(known, 1+len(p.known)/hostsPerKnown, len(p.known)) {
+		k := p.any()
+		d.Known = append(d.Known, knownHost{Address: k.address.String(), DataCentre: k.dataCentre, Age: now - k.heardAt})
 	}
 	return d
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -236,3 +236,20 @@
 	is.Equal((<-ended).Result, stub.Answered)
 	w.unharmed()
 }
+
+// TestManyHostsLearnByRounds has more hosts than one tells itself: a few calls
+// to the store bring a change to all.
+func TestManyHostsLearnByRounds(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.start(20, 2)
+	time.Sleep(4 * time.Second) // All but two leave the store alone by now.
+	before := w.store.Calls()
+	for range 3 {
+		w.configure("entry-desk", "catalogue-press")
+		for _, h := range w.hosts {
+			w.eventually("a host knows the change", func() bool { return h.Version() == uint64(w.version) })
+		}
+	}
+	is.True(w.store.Calls()-before < 40)
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -30,21 +30,25 @@
 	// maxAge is how old a replica may get before its host watches the store
 	// whatever the others do.
 	maxAge = 2500 * time.Millisecond
-	// forgetPeer is how long a host without a message stays known.
-	forgetPeer = 2 * time.Minute
-	// staleDigest is the age of a host's latest digest above which operators
-	// are told that the host is silent.
-	staleDigest = 15 * time.Second
+	// forgetPeer is how long a host stays known of which nobody heard.
+	forgetPeer = 3 * time.Minute
+	// staleDigest is how long nobody heard of a host when operators are told
+	// that it is silent.
+	staleDigest = time.Minute
 	// maxDigest bounds a digest in bytes, so that it fits a datagram.
 	maxDigest = 1200
 	// digestOverhead and itemOverhead are what a digest and an item take in
 	// bytes beside their keys and values, at most.
-	digestOverhead = 300
+	digestOverhead = 420
 	itemOverhead   = 60
 	// maxPins is how many flows' pins a digest tells.
 	maxPins = 8
-	// maxKnown is how many other hosts a digest names.
-	maxKnown = 3
+	// digestKnown is how many other hosts a digest names at most, and
+	// roundKnown how many one names that goes to all. Where there are few hosts,
+	// a digest names one for each hostsPerKnown.
+	digestKnown   = 8
+	roundKnown    = 1
+	hostsPerKnown = 8
 	// maxState bounds the state of a peer, in bytes.
 	maxState = 64 << 20
 	// fetchTimeout bounds the fetch of a state from a peer.
@@ -63,10 +67,13 @@
 type peer struct {
 	id      uint64
 	address netip.AddrPort
+	// heardAt is when this host or one that told it heard of the peer last.
 	heardAt time.Duration
-	// name, dataCentre and revision are what its latest digest said.
-	name, dataCentre string
-	revision         uint64
+	// dataCentre is empty while nobody said it.
+	dataCentre string
+	// name and revision are what its latest digest said.
+	name     string
+	revision uint64
 }
 
 // peers belongs to the control loop.
@@ -75,8 +82,16 @@
 	conn     *net.UDPConn
 	machine  *spread.Machine
 	watchers *spread.Watchers
-	// known holds the other hosts by the hash of their address.
-	known    map[uint64]*peer
+	// self is the own ID.
+	self uint64
+	// known holds the other hosts by the hash of their address, ids their
+	// hashes in order, and centres the same by data centre.
+	known   map[uint64]*peer
+	ids     []uint64
+	centres map[string][]uint64
+	// waiting holds the latest round of each origin that is to be handed on
+	// when this host has caught up.
+	waiting  map[string]*round
 	tellAt   time.Duration
 	recalled recall
 	// announceAt is when the own record is looked for in the store.
@@ -89,46 +104,48 @@
 func newPeers(h *Host, conn *net.UDPConn) *peers {
 	self := peerID(h.set.Peer)
 	p := &peers{
-		host: h, conn: conn, known: map[uint64]*peer{}, announceAt: firstAnnounce + rand.N(firstAnnounce),
-		machine:  spread.New(self, spread.Settings{FetchTimeout: fetchTimeout}, rand.New(rand.NewPCG(rand.Uint64(), self))),
-		watchers: spread.NewWatchers(self, spread.WatchersSettings{}),
+		host: h, conn: conn, self: self, known: map[uint64]*peer{}, centres: map[string][]uint64{}, waiting: map[string]*round{},
+		announceAt: firstAnnounce + rand.N(firstAnnounce),
+		machine:    spread.New(self, spread.Settings{FetchTimeout: fetchTimeout}, rand.New(rand.NewPCG(rand.Uint64(), self))),
+		watchers:   spread.NewWatchers(self, spread.WatchersSettings{}),
 	}
 	for _, a := range h.set.Seeds {
-		p.learn(0, a)
+		p.learn(0, a, "", 0)
 	}
 	p.setHosts()
 	return p
 }
 
-// learn notes another host and reports whether it is new.
-func (p *peers) learn(now time.Duration, a netip.AddrPort) bool {
+// learn notes that a host was heard of at a time, which may lie back, and
+// reports whether something new is known of it.
+func (p *peers) learn(now time.Duration, a netip.AddrPort, dataCentre string, heardAt time.Duration) bool {
+	if a == p.host.set.Peer || !a.IsValid() || now-heardAt >= forgetPeer {
+		return false
+	}
 	id := peerID(a)
-	if a == p.host.set.Peer || !a.IsValid() || p.known[id] != nil {
+	known := p.known[id]
+	if known == nil {
+		p.known[id] = &peer{id: id, address: a, dataCentre: dataCentre, heardAt: heardAt}
+		return true
+	}
+	known.heardAt = max(known.heardAt, min(heardAt, now))
+	if dataCentre == "" || known.dataCentre == dataCentre {
 		return false
 	}
-	p.known[id] = &peer{id: id, address: a, heardAt: now}
+	known.dataCentre = dataCentre
 	return true
 }
 
-func (p *peers) setHosts() {
-	ids := []uint64{peerID(p.host.set.Peer)}
-	for id := range p.known {
-		ids = append(ids, id)
-	}
-	p.machine.SetHosts(ids)
-	p.watchers.SetHosts(ids)
-}
-
 // heard takes a digest of another host.
 func (p *peers) heard(now time.Duration, d *digest, c *control) {
 	a, err := netip.ParseAddrPort(d.Address)
 	if err != nil || a == p.host.set.Peer {
 		return
 	}
-	changed := p.learn(now, a)
+	changed := p.learn(now, a, d.DataCentre, now)
 	for _, k := range d.Known {
-		if other, err := netip.ParseAddrPort(k); err == nil {
-			changed = p.learn(now, other) || changed
+		if other, err := netip.ParseAddrPort(k.Address); err == nil {
+			changed = p.learn(now, other, k.DataCentre, now-max(0, k.Age)) || changed
 		}
 	}
 	if changed {
@@ -145,23 +162,32 @@
 		p.host.log.Info("peers: host joined", zap.String("peer", d.From), zap.Stringer("address", a))
 		p.host.events.Add(event.Event{Kind: event.Joined, Peer: d.From})
 	}
-	from.heardAt, from.name, from.dataCentre, from.revision = now, d.From, d.DataCentre, d.Revision
+	from.name, from.revision = d.From, d.Revision
 	p.watchers.Heard(now, from.id, d.Served)
+	origin := p.originOf(d.Round)
+	if origin != 0 {
+		p.watchers.Heard(now, origin, true)
+	}
 	if len(d.Items) > 0 && c.replica.Loaded() && c.replica.Revision() >= d.Since {
 		c.take(update{delta: &mirror.Delta{Revision: d.Revision, Items: d.Items}, source: d.From})
 	}
 	c.replica.Confirm(d.Revision, now-d.Age)
 	c.publish(now)
+	if origin != 0 {
+		p.handOn(now, d, c)
+	}
 	p.fetch(p.machine.Heard(now, from.id, d.Revision))
 }
 
 // adopted tells peers of a change that this host has put in force.
 func (p *peers) adopted(now time.Duration, since uint64, items []mirror.Item, c *control) {
 	notify := p.machine.Adopted(c.replica.Revision())
-	d := p.digest(now, c)
+	p.handOnWaiting(now, c)
+	d := p.digest(now, c, roundKnown)
 	d.Since, d.Items = since, items
-	if len(items) > 0 && p.fits(d) && p.host.served.Load() {
-		p.tellAll(now, d)
+	fits := len(items) > 0 && p.fits(d)
+	if p.host.served.Load() && (fits || len(p.known) > directHosts) {
+		p.beginRound(d)
 		return
 	}
 	// Peers that have to fetch are told by a few, so that not all of them ask
@@ -175,13 +201,10 @@
 // in a datagram: the routers move flows between these.
 func (p *peers) tellPins(now time.Duration, pins []steer.Pin, c *control) {
 	for some := range slices.Chunk(pins, maxPins) {
-		d := p.digest(now, c)
-		d.Known = nil
+		d := p.digest(now, c, 0)
 		d.Pins = some
-		for _, other := range p.known {
-			if other.dataCentre == p.host.set.DataCentre {
-				p.send(d, other.address)
-			}
+		for _, id := range p.centres[p.host.set.DataCentre] {
+			p.send(d, p.known[id].address)
 		}
 	}
 }
@@ -207,39 +230,36 @@
 
 // tell sends the digests that are due.
 func (p *peers) tell(now time.Duration, c *control) {
-	d := p.digest(now, c)
+	p.forget(now)
 	if p.host.served.Load() {
 		p.tellAt = now + watcherDigests
-		p.tellAll(now, d)
+		p.beginRound(p.digest(now, c, roundKnown))
 		return
 	}
 	p.tellAt = now + otherDigests
+	d := p.digest(now, c, digestKnown)
 	for range min(otherFanout, len(p.known)) {
 		p.send(d, p.any().address)
 	}
 }
 
-func (p *peers) tellAll(now time.Duration, d *digest) {
+// forget drops hosts of which nobody heard for long.
+func (p *peers) forget(now time.Duration) {
+	before := len(p.known)
 	for id, other := range p.known {
 		if now-other.heardAt > forgetPeer {
 			p.host.log.Info("peers: host forgotten", zap.String("peer", other.name), zap.Stringer("address", other.address))
 			p.host.events.Add(event.Event{Kind: event.Lost, Peer: other.name, Cause: "no message for a long time"})
 			delete(p.known, id)
-			continue
 		}
-		p.send(d, other.address)
+	}
+	if len(p.known) < before {
+		p.setHosts()
 	}
 }
 
 // any returns some peer; there must be one.
-func (p *peers) any() *peer {
-	ids := make([]uint64, 0, len(p.known))
-	for id := range p.known {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return p.known[ids[rand.IntN(len(ids))]]
-}
+func (p *peers) any() *peer { return p.known[p.ids[rand.IntN(len(p.ids))]] }
 
 // readLoop takes digests until the socket is closed.
 func (p *peers) readLoop() {
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -3,13 +3,17 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
 	"lagoonramp.org/lagoonramp/internal/event"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/pkg/spread"
 	"lagoonramp.org/lagoonramp/pkg/steer"
 )
 
@@ -25,8 +29,9 @@
 	own := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	h := &Host{
 		set: &Settings{Name: "h0", DataCentre: "a", Peer: own}, log: zap.NewNop(), clock: newClock(),
-		events: event.NewRing("h0", "a"), traffic: &traffic{},
+		events: event.NewRing("h0", "a"), traffic: &traffic{}, client: &http.Client{}, stopped: make(chan struct{}),
 	}
+	t.Cleanup(func() { close(h.stopped) })
 	c := &control{host: h, replica: mirror.New(mirror.Settings{})}
 	c.peers = newPeers(h, conn)
 	for i := range 2 * n {
@@ -58,3 +63,52 @@
 	d.Items[0].Value = make([]byte, maxDigest)
 	is.True(!p.fits(d))
 }
+
+// TestRoundsCostLittle bounds what a host sends that tells all others: at 540
+// hosts a digest to each would be fifty times what a host may spend.
+func TestRoundsCostLittle(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPeers(t, 90)
+	before := p.host.digestsSent.Load()
+	p.beginRound(p.digest(0, c, roundKnown))
+	is.Equal(p.host.digestsSent.Load()-before, uint64(roundDegree+1)) // The other data centre gets one.
+	few, c := newTestPeers(t, directHosts/2)
+	before = few.host.digestsSent.Load()
+	few.beginRound(few.digest(0, c, roundKnown))
+	is.Equal(few.host.digestsSent.Load()-before, uint64(directHosts))
+}
+
+// TestRoundWaitsForTheState checks that a host that is behind hands a round on
+// when it has caught up, so that others find the state at it.
+func TestRoundWaitsForTheState(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPeers(t, 90)
+	d := &digest{
+		From: "h1", DataCentre: "a", Address: "127.0.9.1:9", Revision: 7,
+		Round: &round{Origin: "127.0.9.2:9", DataCentre: "a", Part: spread.Everyone},
+	}
+	before := p.host.digestsSent.Load()
+	p.heard(0, d, c)
+	is.Equal(p.host.digestsSent.Load(), before)
+	_, err := c.replica.Take(0, &mirror.Delta{Whole: true, Revision: 7})
+	is.NoErr(err)
+	p.handOnWaiting(0, c)
+	is.Equal(p.host.digestsSent.Load()-before, uint64(roundDegree))
+	p.heard(0, d, c) // Nothing to wait for now.
+	is.Equal(p.host.digestsSent.Load()-before, uint64(2*roundDegree))
+}
+
+// TestDeadHostsAreForgotten checks that hosts which others still name do not
+// come back by that.
+func TestDeadHostsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPeers(t, 2)
+	later := forgetPeer + time.Second
+	p.heard(later, &digest{
+		From: "h1", DataCentre: "a", Address: "127.0.9.1:9",
+		Known: []knownHost{{Address: "127.0.9.2:9", Age: later}, {Address: "127.0.9.3:9", Age: time.Second}},
+	}, c)
+	p.forget(later)
+	is.Equal(len(p.known), 2)
+	is.True(p.known[peerID(netip.MustParseAddrPort("127.0.9.2:9"))] == nil)
+}
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
 	"time"
 
@@ -74,7 +75,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	var a remnantsAnswer
-	if err := getJSON(ctx, h.client, from, remnantsPath, &a); err != nil {
+	path := remnantsPath + "?dataCentre=" + url.QueryEscape(h.set.DataCentre)
+	if err := getJSON(ctx, h.client, from, path, &a); err != nil {
 		h.log.Warn("peers: what open flows need was not learned", zap.Stringer("peer", from), zap.Error(err))
 		return
 	}
@@ -96,8 +98,12 @@
 	c.build(now)
 }
 
-// remnantsHandler gives a host that has just started what open flows need.
-func (h *Host) remnantsHandler(w http.ResponseWriter, _ *http.Request) {
+// remnantsHandler gives a host that has just started what open flows need. One
+// of the own data centre is told the pins of flows as well.
+func (h *Host) remnantsHandler(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("dataCentre") == h.set.DataCentre {
+		h.traffic.wanted.Store(true)
+	}
 	var a remnantsAnswer
 	h.call(func(c *control) {
 		now := h.now()
--- a/pkg/spread/machine.go
+++ b/pkg/spread/machine.go
@@ -79,8 +79,12 @@
 // SetHosts names the live hosts of the data centre, self included.
 func (m *Machine) SetHosts(hosts []uint64) {
 	m.hosts = slices.Clone(hosts)
+	there := make(map[uint64]bool, len(hosts))
+	for _, h := range hosts {
+		there[h] = true
+	}
 	for h := range m.known {
-		if !slices.Contains(hosts, h) {
+		if !there[h] {
 			delete(m.known, h)
 			delete(m.failed, h)
 		}
