--- a/internal/entry/digest.go
+++ b/internal/entry/digest.go
@@ -22,7 +22,7 @@
 	// sender knew that it was current.
 	Revision uint64        `json:"revision"`
 	Age      time.Duration `json:"age"`
-	// Served tells that the store serves the sender.
+	// Served tells that the sender watches the store for others, and is served.
 	Served bool `json:"served,omitempty"`
 	// Report tells whether the sender is ready.
 	turns.Report
@@ -49,7 +49,7 @@
 func (p *peers) digest(now time.Duration, c *control, known int) *digest {
 	d := &digest{
 		From: p.host.set.Name, DataCentre: p.host.set.DataCentre, Address: p.host.set.Peer.String(),
-		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.host.served.Load(),
+		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.tellsAll(),
 		Report: p.host.standing(now),
 	}
 	for range min(known, 1+len(p.known)/hostsPerKnown, len(p.known)) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -83,6 +83,8 @@
 	conn     *net.UDPConn
 	machine  *spread.Machine
 	watchers *spread.Watchers
+	// turn tells that it is this host's turn to watch the store for others.
+	turn bool
 	// queue tells when this host may leave.
 	queue *turns.Queue
 	// self is the own ID.
@@ -188,7 +190,9 @@
 	p.host.events.Add(event.Event{Kind: event.Joined, Peer: d.From})
 	if d.DataCentre == p.host.set.DataCentre {
 		p.host.traffic.wanted.Store(true)
-		p.send(p.digest(now, c, digestKnown), a)
+		if len(p.centres[d.DataCentre]) <= directHosts {
+			p.send(p.digest(now, c, digestKnown), a)
+		}
 	}
 }
 
@@ -199,7 +203,7 @@
 	d := p.digest(now, c, roundKnown)
 	d.Since, d.Items = since, items
 	fits := len(items) > 0 && p.fits(d)
-	if p.host.served.Load() && (fits || len(p.known) > directHosts) {
+	if p.tellsAll() && (fits || len(p.known) > directHosts) {
 		p.beginRound(d)
 		return
 	}
@@ -211,10 +215,13 @@
 }
 
 // tellCentre tells the hosts of this data centre what this one says of itself.
+// Where there are many, one that leaves matters to nobody, and few are told.
 func (p *peers) tellCentre(now time.Duration, c *control) {
 	d := p.digest(now, c, 0)
-	for _, id := range p.centres[p.host.set.DataCentre] {
-		p.send(d, p.known[id].address)
+	hosts := p.centres[p.host.set.DataCentre]
+	first := rand.IntN(len(hosts) + 1)
+	for i := range min(len(hosts), directHosts) {
+		p.send(d, p.known[hosts[(first+i)%len(hosts)]].address)
 	}
 }
 
@@ -232,8 +239,9 @@
 
 // tick does what is due.
 func (p *peers) tick(now time.Duration, c *control) {
-	turn := p.watchers.Watches(now, p.host.served.Load())
-	if turn = turn || c.replica.Age(now) > maxAge; !p.host.watch.Swap(turn) && turn {
+	p.turn = p.watchers.Watches(now, p.host.served.Load())
+	turn := p.turn || c.replica.Age(now) > maxAge
+	if !p.host.watch.Swap(turn) && turn {
 		select {
 		case p.host.turn <- struct{}{}:
 		default:
@@ -249,10 +257,15 @@
 	}
 }
 
+// tellsAll reports whether it is for this host to tell all others: it watches the
+// store for them, which serves it. Hosts that have just started all read the
+// store and tell nobody, or they would choke each other.
+func (p *peers) tellsAll() bool { return p.turn && p.host.served.Load() }
+
 // tell sends the digests that are due.
 func (p *peers) tell(now time.Duration, c *control) {
 	p.forget(now)
-	if p.host.served.Load() {
+	if p.tellsAll() {
 		p.tellAt = now + watcherDigests
 		p.beginRound(p.digest(now, c, roundKnown))
 		return
--- a/pkg/spread/watchers.go
+++ b/pkg/spread/watchers.go
@@ -18,14 +18,14 @@
 	// Step is how much longer the next host in the order waits before it
 	// replaces a lost watcher. The default is 60 ms.
 	Step time.Duration
-	// MaxDelay bounds that wait. The default is 600 ms.
+	// MaxDelay bounds that wait. The default is 1.5 s.
 	MaxDelay time.Duration
 }
 
 const (
 	defaultLost     = 1200 * time.Millisecond
 	defaultStep     = 60 * time.Millisecond
-	defaultMaxDelay = 600 * time.Millisecond
+	defaultMaxDelay = 1500 * time.Millisecond
 )
 
 // Watchers decides whether a host watches the store itself or leaves that to
