Limit overloaded services at the hosts: the newest SYN goes first

Ruled out: the callers' copies (holding them for longer changed nothing); a limit by this host's share of slots (data centres with few hosts have more traffic a host; it delayed the return after outages). Change: pkg/steer lanes. While the median answer of a service takes longer than 0.6 of the route's objective for 0.2 s, the host limits its flows at the servers, by how far the median is from 0.4, once a round trip, and lets more go when answers are in time. SYNs that wait go newest first; those that cannot be in time any more go when no other waits, and are refused after 0.4 of the route's timeout, only if every copy of the SYN came to this host and none is due soon: then no other host can have opened the flow. Flows whose answers are not seen within twice the objective do not count: they moved to another host.

--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -319,9 +319,9 @@
 }
 
 // refuse resets a flow that cannot be opened. A host whose view is old cannot
-// know that a route does not exist and says nothing.
+// know that a route or a server does not exist and says nothing.
 func (t *traffic) refuse(now time.Duration, p *steer.Packet, why steer.Reason) {
-	if now-t.current.confirmed > freshness {
+	if why != steer.Overload && now-t.current.confirmed > freshness {
 		t.counters.Dropped[why].Add(1)
 		t.log.dropped(now, p, why, t.current)
 		return
@@ -356,6 +356,11 @@
 		if !ok {
 			break
 		}
+		if r.Server == nil {
+			t.refuse(now, &steer.Packet{Key: r.Key}, steer.Overload)
+			t.writer.Flush()
+			continue
+		}
 		t.resent = append(t.resent[:0], make([]byte, room)...)
 		t.resent = append(t.resent, r.Opening...)
 		t.forward(t.resent, r.Server)
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -51,7 +51,8 @@
 }
 
 type routeRecord struct {
-	targets []Target
+	// Route is the document's; it has no targets if the document lacks it.
+	Route
 	// until holds how long each former service is remembered.
 	until map[string]time.Duration
 }
@@ -192,9 +193,9 @@
 
 // noteRoutes remembers the routes and the services that they left.
 func (b *Builder) noteRoutes(now time.Duration, doc *Document) {
-	current := make(map[netip.AddrPort][]Target, len(doc.Routes))
+	current := make(map[netip.AddrPort]Route, len(doc.Routes))
 	for _, r := range doc.Routes {
-		current[r.Address] = r.Targets
+		current[r.Address] = r
 		if b.routes[r.Address] == nil {
 			b.routes[r.Address] = &routeRecord{until: map[string]time.Duration{}}
 		}
@@ -202,19 +203,19 @@
 	for a, r := range b.routes {
 		// The view may have been built last long ago: until now, flows began
 		// at the targets that the route leaves.
-		for _, t := range slices.Concat(r.targets, current[a]) {
+		for _, t := range slices.Concat(r.Targets, current[a].Targets) {
 			r.until[t.Service] = now + b.set.FlowLifetime
 		}
-		r.targets = current[a]
+		r.Route = current[a]
 	}
 }
 
 // addRoutes fills the view's routes.
 func (b *Builder) addRoutes(now time.Duration, v *View) {
 	for a, r := range b.routes {
-		p := &Path{Targets: r.targets}
+		p := &Path{Targets: r.Targets, Objective: r.Objective, Timeout: r.Timeout}
 		for service, until := range r.until {
-			if isTarget(r.targets, service) {
+			if isTarget(r.Targets, service) {
 				continue
 			}
 			if now >= until {
@@ -223,7 +224,7 @@
 			}
 			p.Former = append(p.Former, service)
 		}
-		if len(r.until) == 0 && len(r.targets) == 0 {
+		if len(r.until) == 0 && len(r.Targets) == 0 {
 			delete(b.routes, a)
 			continue
 		}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -62,6 +62,9 @@
 	Name    string
 	Address netip.AddrPort
 	Targets []Target
+	// Objective is within what time a request should be answered, and Timeout
+	// when its caller gives up; 0 if the operators do not say.
+	Objective, Timeout time.Duration
 }
 
 // Document is a configuration of the operators.
@@ -79,6 +82,8 @@
 	// Former are the services that new flows went to before, within a flow's
 	// lifetime.
 	Former []string
+	// Objective and Timeout are the route's.
+	Objective, Timeout time.Duration
 }
 
 // Allows reports whether an open flow of the route may be at a service.
--- a/pkg/fleet/remnant.go
+++ b/pkg/fleet/remnant.go
@@ -42,7 +42,7 @@
 	}
 	for a, r := range b.routes {
 		for service, until := range r.until {
-			if !isTarget(r.targets, service) && until > now {
+			if !isTarget(r.Targets, service) && until > now {
 				out.Targets = append(out.Targets, FormerTarget{Route: a, Service: service, Left: until - now})
 			}
 		}
--- a/pkg/steer/crest_test.go
+++ b/pkg/steer/crest_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -23,6 +24,8 @@
 	goal, patience time.Duration
 	// outageFrom and outageTo are when no host takes packets.
 	outageFrom, outageTo time.Duration
+	// objective is what the route declares; 0 for nothing.
+	objective time.Duration
 	// slow is how many servers work five times as long, and dead how many do
 	// not answer from dieAt on.
 	slow, dead int
@@ -53,7 +56,7 @@
 	w := &crestWorld{plan: plan, rng: rand.New(rand.NewPCG(seed, 6)), busy: make([]int, plan.servers), queues: make([][]func(), plan.servers)}
 	w.view = &fleet.View{
 		Version: 1, Usable: map[string][]*fleet.Server{}, Marked: map[uint32]*fleet.Server{},
-		Routes: map[netip.AddrPort]*fleet.Path{route: {Targets: []fleet.Target{{Service: "desk", Weight: 1}}}},
+		Routes: map[netip.AddrPort]*fleet.Path{route: {Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: plan.objective, Timeout: plan.patience}},
 	}
 	for i := range plan.servers {
 		s := &fleet.Server{Service: "desk", DataCentre: "a", Slots: plan.slots, Mark: uint32(i + 1)}
@@ -79,6 +82,9 @@
 	w.Every(ms, func() bool {
 		for i, t := range w.tables {
 			for r, ok := t.Due(w.Now()); ok; r, ok = t.Due(w.Now()) {
+				if r.Server == nil {
+					continue // The caller is refused.
+				}
 				w.syn(i, int(r.Key.Caller.Port())-1024, r.Server)
 			}
 		}
@@ -109,7 +115,7 @@
 			if r.opened || w.down() {
 				return
 			}
-			v := w.tables[r.host].testSyn(w.Now(), r.n, i)
+			v := w.tables[r.host].testSynAfter(w.Now(), r.n, i, after)
 			if v.Action == Forward {
 				w.syn(r.host, r.n, v.Server)
 			}
@@ -203,6 +209,40 @@
 	is.True(with > without)
 }
 
+// TestOverloadedServersServeNewFlowsInTime replays a load beyond what the servers
+// can do, with and without an objective by which the hosts limit it. Nine tenths
+// of what they can do has to be in time; first come, first served, half is late.
+func TestOverloadedServersServeNewFlowsInTime(t *testing.T) {
+	for _, load := range []float64{1.05, 1.15, 1.3} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			is := is.New(t)
+			plan := association
+			plan.rate = load * float64(plan.servers*plan.slots) / plan.work.Seconds()
+			plan.end = 8 * time.Second
+			without := newCrestWorld(plan, 1, 7).run()
+			plan.objective = plan.goal
+			with := newCrestWorld(plan, 1, 7).run()
+			is.True(with.share() > 0.9/load)
+			is.True(with.share() > without.share())
+			is.True(float64(with.served) > 0.97*float64(without.served))
+		})
+	}
+}
+
+// TestCalmServersKnowNoLimit checks that an objective changes nothing while the
+// servers can do what is asked.
+func TestCalmServersKnowNoLimit(t *testing.T) {
+	is := is.New(t)
+	plan := association
+	plan.objective = plan.goal
+	w := newCrestWorld(plan, 1, 7).run()
+	is.True(w.share() > 0.99)
+	for _, table := range w.tables {
+		is.Equal(table.lane("desk").limit, 0.0)
+		is.Equal(len(table.queued), 0)
+	}
+}
+
 // TestDeadServersCostLittle lets a seventh of the servers go silent at the
 // crest.
 func TestDeadServersCostLittle(t *testing.T) {
--- a/pkg/steer/due.go
+++ b/pkg/steer/due.go
@@ -2,6 +2,18 @@
 
 import "time"
 
+// dueKind is why a flow has to be looked at.
+type dueKind uint8
+
+const (
+	// dueHandshake: the server of the SYN should have answered by now.
+	dueHandshake dueKind = iota
+	// dueHold: the SYN waits at the host until then.
+	dueHold
+	// dueAnswer: the answer to the request should have begun by now.
+	dueAnswer
+)
+
 // dueEntry is a flow that has to be looked at by a time.
 type dueEntry struct {
 	at   time.Duration
@@ -9,11 +21,23 @@
 	// serial is the flow's when the entry was made; another one tells that the
 	// record was used for another flow since.
 	serial uint32
+	kind   dueKind
 }
 
 // over reports whether nothing is to be done for the flow any more.
 func (e *dueEntry) over() bool {
-	return e.flow.serial != e.serial || e.flow.pinned != 0 || e.flow.ended
+	f := e.flow
+	if f.serial != e.serial || f.ended {
+		return true
+	}
+	switch e.kind {
+	case dueHold:
+		return f.tries > 0
+	case dueAnswer:
+		return !f.asked || f.busy == 0
+	default:
+		return f.pinned != 0
+	}
 }
 
 // dueHeap is a binary heap with the earliest entry first. The library's heap
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -26,7 +26,10 @@
 	// Length is the number of data bytes.
 	Length int
 	// Copy counts the copies of a SYN; the first has 0.
-	Copy            int
+	Copy int
+	// Waited is how long before a copy of a SYN its caller sent the first one,
+	// and Next how long after it the caller sends another or gives up.
+	Waited, Next    time.Duration
 	Syn, Fin, Reset bool
 }
 
@@ -57,12 +60,14 @@
 	NoRoute
 	// NoServer: no server takes flows of the service.
 	NoServer
+	// Overload: the service's servers cannot serve the flow in time.
+	Overload
 	// UnknownMark: the packet's mark names no server of the route.
 	UnknownMark
 	reasons
 )
 
-var reasonNames = [reasons]string{"none", "noView", "noRoute", "noServer", "unknownMark"}
+var reasonNames = [reasons]string{"none", "noView", "noRoute", "noServer", "overload", "unknownMark"}
 
 // String returns the reason's name.
 func (r Reason) String() string { return reasonNames[r] }
@@ -88,7 +93,8 @@
 // Resend is a SYN that was kept and goes to a server now: to another one, since
 // the first did not answer, or to its first one after it was held.
 type Resend struct {
-	Key    Key
+	Key Key
+	// Server is nil if the flow is to be refused because of Overload.
 	Server *fleet.Server
 	// Silent is the server that did not answer; nil if the SYN was held.
 	Silent *fleet.Server
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -51,6 +51,9 @@
 	centres map[string]*estimator
 	// routes holds what is typical of each route with answers.
 	routes map[netip.AddrPort]*typical
+	// lanes holds the flows by service, and queued those in which SYNs wait.
+	lanes  map[string]*lane
+	queued []*lane
 	due    dueHeap
 	// pins are those that other hosts are to be told.
 	pins    []Pin
@@ -74,8 +77,14 @@
 	// sentAt is when the SYN went to the latest server and lastAt when the
 	// latest packet came.
 	sentAt, lastAt time.Duration
-	// holdEnd is until when the SYN may be held.
-	holdEnd time.Duration
+	// late tells that a SYN that waits at the host has done so for too long to
+	// be served in time, and lateEnd when it is sent in any case.
+	late    bool
+	lateEnd time.Duration
+	// copies is how many copies of the SYN came here, counted from the first,
+	// or -1 if one went elsewhere; copyEnd is when the next one is due.
+	copies  int
+	copyEnd time.Duration
 	// busy is the mark of the server that is taken to work for the flow, or 0.
 	busy uint32
 	// asked tells that a request waits for its answer, since askedAt, when the
@@ -112,7 +121,7 @@
 		set.ForgetSplit = defaultForgetSplit
 	}
 	return &Table{
-		set: set, hosts: 1, flows: map[Key]*flow{}, servers: map[uint32]*Health{}, centres: map[string]*estimator{},
+		set: set, hosts: 1, lanes: map[string]*lane{}, flows: map[Key]*flow{}, servers: map[uint32]*Health{}, centres: map[string]*estimator{},
 		routes: map[netip.AddrPort]*typical{},
 	}
 }
@@ -136,6 +145,12 @@
 			delete(t.routes, a)
 		}
 	}
+	for service, l := range t.lanes {
+		l.share = t.share(service)
+		if len(v.Usable[service]) == 0 && l.busy == 0 && !l.queued {
+			delete(t.lanes, service)
+		}
+	}
 }
 
 // Leave says that the routers are about to turn away from this host.
@@ -163,7 +178,7 @@
 func (t *Table) syn(now time.Duration, p *Packet, raw []byte) Verdict {
 	f := t.flows[p.Key]
 	if f != nil && f.sequence == p.Sequence && !f.ended {
-		return t.synCopy(now, f)
+		return t.synCopy(now, f, p)
 	}
 	if f != nil {
 		t.drop(f)
@@ -179,7 +194,8 @@
 	}
 	if len(t.flows) < t.set.MaxFlows && len(raw) <= maxOpening {
 		f = t.newFlow(p, service, raw)
-		if t.holds(now, f, p.Copy) {
+		f.noteCopy(now, p)
+		if t.holds(now, f, path, p) {
 			return Verdict{Action: Hold}
 		}
 		t.send(now, f, s)
@@ -190,8 +206,9 @@
 // synCopy sends a copy of a SYN where the latest one went. At a host that
 // leaves, a copy shows what time alone does not: that the flow still comes here
 // and the server stayed silent.
-func (t *Table) synCopy(now time.Duration, f *flow) Verdict {
+func (t *Table) synCopy(now time.Duration, f *flow, p *Packet) Verdict {
 	f.lastAt = now
+	f.noteCopy(now, p)
 	if f.tries == 0 {
 		return Verdict{Action: Hold}
 	}
@@ -265,6 +282,7 @@
 		f.askedAck = p.Ack
 		v.Asked = true
 		t.setBusy(f, v.Server.Mark)
+		t.expect(now, f)
 	}
 	if f.asked && int32(p.Ack-f.askedAck) > 0 {
 		f.asked = false
@@ -306,6 +324,9 @@
 	if h := t.servers[v.Server.Mark]; h != nil {
 		h.speed.add(now, ratio)
 	}
+	if path := t.view.Routes[f.key.Service]; path != nil && path.Objective > 0 {
+		t.lane(f.service).answered(now, f.sentAt, v.Answer.Seconds()/path.Objective.Seconds())
+	}
 }
 
 // reached notes that a server answered.
@@ -323,10 +344,14 @@
 	if h := t.servers[f.busy]; h != nil && h.busy > 0 {
 		h.busy--
 	}
+	if f.busy != 0 {
+		t.lane(f.service).load(-1)
+	}
 	f.busy = 0
 	if h := t.servers[m]; h != nil {
 		h.busy++
 		f.busy = m
+		t.lane(f.service).load(1)
 	}
 }
 
@@ -340,13 +365,14 @@
 	if h := t.servers[s.Mark]; h.suspect() {
 		h.retryAt = now + maxRest
 	}
-	if f.tries < t.set.Tries {
-		t.due.push(dueEntry{at: now + t.centre(s.DataCentre).wait(), flow: f, serial: f.serial})
-	}
+	t.due.push(dueEntry{at: now + t.centre(s.DataCentre).wait(), flow: f, serial: f.serial})
 }
 
 // NextDue returns when Due has something to do; ok is false if nothing waits.
 func (t *Table) NextDue() (at time.Duration, ok bool) {
+	if t.room() {
+		return 0, true
+	}
 	for len(t.due) > 0 {
 		if e := &t.due[0]; !e.over() {
 			return e.at, true
@@ -366,16 +392,19 @@
 		if e.over() {
 			continue
 		}
-		if f.tries == 0 {
-			r, ok = t.release(now, f)
-		} else {
+		switch e.kind {
+		case dueHold:
+			r, ok = t.holdEnded(now, f)
+		case dueAnswer:
+			t.setBusy(f, 0)
+		default:
 			r, ok = t.resend(now, f)
 		}
 		if ok {
 			return r, true
 		}
 	}
-	return Resend{}, false
+	return t.released(now)
 }
 
 // resend sends a flow's SYN to another server, unless the host leaves: the
@@ -384,6 +413,11 @@
 	if t.leaving {
 		return Resend{}, false
 	}
+	if f.late || f.tries >= t.set.Tries {
+		// Its caller may have given up.
+		t.setBusy(f, 0)
+		return Resend{}, false
+	}
 	silent := f.tried[f.tries-1]
 	s := t.sendOn(now, f)
 	if s == nil {
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -52,6 +52,11 @@
 	return t.Packet(now, &Packet{Key: key(n), Sequence: uint32(n), Syn: true, Copy: copies}, rawSyn)
 }
 
+// testSynAfter sends a copy of a SYN that waited for so long.
+func (t *Table) testSynAfter(now time.Duration, n, copies int, waited time.Duration) Verdict {
+	return t.Packet(now, &Packet{Key: key(n), Sequence: uint32(n), Syn: true, Copy: copies, Waited: waited, Next: 200 * ms << copies}, rawSyn)
+}
+
 // testData sends a packet with a request or an acknowledgement.
 func (t *Table) testData(now time.Duration, n int, mark uint32, ack uint32, length int) Verdict {
 	return t.Packet(now, &Packet{Key: key(n), Mark: mark, Ack: ack, Length: length}, nil)
