--- a/pkg/steer/lane.go
+++ b/pkg/steer/lane.go
@@ -36,7 +36,7 @@
 	maxLateWait = 1100 * time.Millisecond
 	// patience is for how long answers have to be late before a limit is set:
 	// a burst passes by itself.
-	patience = 200 * time.Millisecond
+	patience = 400 * time.Millisecond
 	// copyWait is how long the first copy of a SYN waits at most where there
 	// is no limit: callers send the second one 400 ms later and may give up
 	// soon after.
