Wait for hosts that have just become ready before leaving

Cause: TestRollingRestartLosesNoFlow failed once beside load (62 packets to hosts that were down, 4 s instead of 7): the others had become ready less than the notice of 0.6 s before, counted as not ready, and 'no other is ready' let all go at once. Ruled out: lost digests (the hosts knew each other in the log of a second run). Change: a host that has just become ready is waited for. The test asks for hosts that know each other, 0.9 s between stops, which fits the grace of 6 s; without turns it still fails (3 of 3), with them 8 of 8 passed, 4 of them beside the race detector. Tests: two cases of TestMayLeave fail before.

--- a/pkg/turns/turns.go
+++ b/pkg/turns/turns.go
@@ -81,11 +81,11 @@
 	ready, stay := 0, 0
 	for host := range q.heard {
 		since, ok := q.readySince[host]
-		if !ok || now-since < q.set.Notice {
+		if !ok {
 			continue
 		}
 		ready++
-		if !q.goesBefore(host, asked) {
+		if now-since >= q.set.Notice && !q.goesBefore(host, asked) {
 			stay++
 		}
 	}
--- a/pkg/turns/turns_test.go
+++ b/pkg/turns/turns_test.go
@@ -171,6 +171,8 @@
 		{"one of three is away", []Report{ready, {}}, false},
 		{"one of four is away", []Report{ready, ready, {}}, true},
 		{"another has just come back", []Report{ready, {ReadyFor: 100 * ms}}, false},
+		{"the only other has just come back", []Report{{ReadyFor: 100 * ms}}, false},
+		{"all others have just started", []Report{{ReadyFor: 100 * ms}, {ReadyFor: 200 * ms}}, false},
 		{"another was asked before", []Report{ready, {ReadyFor: time.Minute, AskedFor: 2 * time.Second}}, false},
 		{"another was asked later", []Report{ready, {ReadyFor: time.Minute, AskedFor: 500 * ms}}, true},
 	} {
