A leaving host waits for connections that the fabric has handed over

Change: the ingress tells whether a connection is on its way or came within 0.3 s. Test: TestLeavingHostServesWhatTheFabricHandedOver, 'the host ended with a connection on its way' before.

--- a/internal/host/drain_test.go
+++ b/internal/host/drain_test.go
@@ -66,12 +66,26 @@
 
 // connect opens a connection through the host and makes sure that it works.
 func connect(t *testing.T, h *Host) net.Conn {
+	t.Helper()
+	c := dial(t, h)
+	begin(t, c)
+	return c
+}
+
+// dial opens a connection to the host without a word.
+func dial(t *testing.T, h *Host) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", h.set.Ingress.TCP)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// begin leads a connection to the service and makes sure that it works.
+func begin(t *testing.T, c net.Conn) {
+	t.Helper()
 	service := netip.MustParseAddrPort("127.0.0.1:1")
 	header := proxyp.Append(nil, proxyp.Header{Source: netip.MustParseAddrPort("192.0.2.7:5000"), Destination: service, Transport: proxyp.Stream})
 	if _, err := c.Write(append(header, 'x')); err != nil {
@@ -80,7 +94,6 @@
 	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
-	return c
 }
 
 // works reports whether the connection still carries data.
@@ -109,6 +122,26 @@
 	is.Equal(len(stopped), 1)
 }
 
+// TestLeavingHostServesWhatTheFabricHandedOver has a connection whose header
+// comes when the host, which has none else, could end.
+func TestLeavingHostServesWhatTheFabricHandedOver(t *testing.T) {
+	is := is.New(t)
+	h, conn, soft, _, done := serving(t, time.Hour)
+	late := dial(t, h)
+	soft()
+	is.NoErr(conn.Close())
+	time.Sleep(leaveGrace + time.Second)
+	select {
+	case <-done:
+		t.Fatal("the host ended with a connection on its way")
+	default:
+	}
+	begin(t, late)
+	is.True(works(late))
+	is.NoErr(late.Close())
+	<-done
+}
+
 func TestSecondSignalEndsAtOnce(t *testing.T) {
 	is := is.New(t)
 	h, conn, soft, hard, done := serving(t, time.Hour)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -323,6 +323,9 @@
 	})
 	// The fabric needs a moment to see that the host is not ready any more.
 	pause(ctx, leaveGrace)
+	for ctx.Err() == nil && !h.ingress.Quiet() {
+		pause(ctx, drainPoll)
+	}
 	var group sync.WaitGroup
 	r := h.routes.Load()
 	for _, s := range r.http {
--- a/internal/relay/ingress.go
+++ b/internal/relay/ingress.go
@@ -13,8 +13,12 @@
 	"lagoonramp.org/lagoonramp/internal/proxyp"
 )
 
-// headerTimeout bounds the wait for a PROXY header.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout bounds the wait for a PROXY header.
+	headerTimeout = 5 * time.Second
+	// quietFor is how long no connection may have come for Quiet.
+	quietFor = 300 * time.Millisecond
+)
 
 // Acceptor takes a connection to a service. It owns the connection.
 type Acceptor interface {
@@ -32,13 +36,19 @@
 	group     sync.WaitGroup
 	callers   callerCount
 	refused   atomic.Uint64
+	// opening counts connections that were accepted and not handed to their
+	// service yet, and movedAt is when that changed last, in nanoseconds since
+	// the epoch.
+	opening atomic.Int64
+	movedAt atomic.Int64
+	epoch   time.Time
 }
 
 // NewIngress returns an ingress. The fabric's listener may be nil. Direct
 // makes it listen on the services' own addresses. Limit bounds the
 // connections of one caller's address.
 func NewIngress(fabric *net.TCPListener, direct bool, limit int) *Ingress {
-	in := &Ingress{fabric: fabric, direct: direct, listeners: map[netip.AddrPort]*net.TCPListener{},
+	in := &Ingress{fabric: fabric, direct: direct, listeners: map[netip.AddrPort]*net.TCPListener{}, epoch: time.Now(),
 		callers: callerCount{limit: limit, open: map[netip.Addr]int{}}}
 	in.services.Store(&map[netip.AddrPort]Acceptor{})
 	if fabric != nil {
@@ -51,6 +61,19 @@
 // Refused returns how many connections were refused.
 func (in *Ingress) Refused() uint64 { return in.refused.Load() }
 
+// Quiet reports whether no connection is on its way to its service, nor was one
+// just now. A host that leaves waits for it, or connections that the fabric
+// handed over last would be reset.
+func (in *Ingress) Quiet() bool {
+	return in.opening.Load() == 0 && time.Since(in.epoch)-time.Duration(in.movedAt.Load()) >= quietFor
+}
+
+// move notes that a connection was accepted (1) or handed to its service (-1).
+func (in *Ingress) move(n int64) {
+	in.opening.Add(n)
+	in.movedAt.Store(int64(time.Since(in.epoch)))
+}
+
 // SetServices names the services by address. It returns an error for each
 // address on which it cannot listen.
 func (in *Ingress) SetServices(services map[netip.AddrPort]Acceptor) error {
@@ -105,12 +128,14 @@
 			return
 		}
 		if err == nil {
+			in.move(1)
 			go in.readHeader(conn)
 		}
 	}
 }
 
 func (in *Ingress) readHeader(conn *net.TCPConn) {
+	defer in.move(-1)
 	_ = conn.SetReadDeadline(time.Now().Add(headerTimeout))
 	h, err := proxyp.Read(conn)
 	if err != nil || h.Local || h.Transport != proxyp.Stream {
