Tell operators when a service is limited

One line when new flows of a service get a limit and one when it ends, with the median answer and the load that decided; gauges lagoonramp_service_limit, _busy and _waiting by service.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -244,6 +244,13 @@
 	for service, n := range suspects {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`lagoonramp_servers_avoided{service=%q}`, service), n)
 	}
+	if lanes := h.traffic.lanes.Load(); lanes != nil {
+		for _, l := range *lanes {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf(`lagoonramp_service_limit{service=%q}`, l.Service), l.Limit)
+			metrics.WriteGaugeUint64(w, fmt.Sprintf(`lagoonramp_service_busy{service=%q}`, l.Service), uint64(l.Busy))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf(`lagoonramp_service_waiting{service=%q}`, l.Service), uint64(l.Waiting))
+		}
+	}
 	h.traffic.metrics.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// limit notes that new flows of a service are limited, or are no more.
+func (l *decisionLog) limit(c steer.LimitChange) {
+	text := "traffic: servers answer late, new flows are limited"
+	if c.Limit == 0 {
+		text = "traffic: servers answer in time, no limit any more"
+	}
+	l.unusual.Warn(text, zap.String("service", c.Service), zap.Float64("limit", c.Limit), zap.Int("busy", c.Busy),
+		zap.Float64("median", c.Median))
+}
+
 func (l *decisionLog) malformed(err error) {
 	l.unusual.Warn("traffic: packet not understood", zap.Error(err))
 }
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -92,9 +92,10 @@
 	wanted atomic.Bool
 	// retellAt is when all pins may be told again.
 	retellAt time.Duration
-	// report is what the table knows of the servers, made anew when reportAt
-	// has come.
+	// report and lanes are what the table knows of servers and services, made
+	// anew when reportAt has come.
 	report   atomic.Pointer[[]steer.ServerReport]
+	lanes    atomic.Pointer[[]steer.LaneReport]
 	reportAt time.Duration
 	// metrics holds the histograms.
 	metrics             *metrics.Set
@@ -207,6 +208,9 @@
 	if pins := t.table.TakePins(); len(pins) > 0 {
 		t.tell(pins)
 	}
+	for _, c := range t.table.TakeLimits() {
+		t.log.limit(c)
+	}
 	t.lastAt.Store(int64(now))
 	t.counters.Received.Add(uint64(n))
 	t.counters.Unsent.Store(t.writer.Failed)
@@ -215,6 +219,8 @@
 		t.reportAt = now + reportEvery
 		r := t.table.Report(now)
 		t.report.Store(&r)
+		lanes := t.table.Lanes()
+		t.lanes.Store(&lanes)
 	}
 }
 
--- a/pkg/steer/lane.go
+++ b/pkg/steer/lane.go
@@ -60,7 +60,7 @@
 // other waits. Under first come, first served, all would be late.
 //
 // Newest first under overload is known from Maurer, "Fail at Scale" (ACM Queue,
-// 2015); the limit is cut and grown as by Chiu and Jain (1989).
+// 2015).
 type lane struct {
 	// limit is 0 for none, and share this host's share of the slots.
 	limit, share float64
@@ -74,6 +74,8 @@
 	lateSince, cutAt time.Duration
 	answers          []float64
 	windowAt         time.Duration
+	// median is that of the latest window.
+	median float64
 	// fresh and late are the SYNs that wait, the newest last.
 	fresh, late []waiting
 	queued      bool
@@ -144,6 +146,7 @@
 func (l *lane) judge(now time.Duration) {
 	slices.Sort(l.answers)
 	median := l.answers[len(l.answers)/2]
+	l.median = median
 	if median <= lateAbove {
 		l.lateSince = 0
 		if l.limit > 0 {
--- a/pkg/steer/lane_test.go
+++ b/pkg/steer/lane_test.go
@@ -151,3 +151,26 @@
 	table.SetView(3*ms, &fleet.View{Version: 2})
 	is.Equal(len(table.lanes), 0)
 }
+
+// TestLimitsAreTold checks what operators see of a service that is overloaded.
+func TestLimitsAreTold(t *testing.T) {
+	is := is.New(t)
+	table := newFullTable(1)
+	l := table.lane("desk")
+	l.limit, l.busy = 0, 0
+	now := time.Second
+	told := 0
+	for n := 0; told == 0 && n < 200; n++ {
+		now += 20 * ms
+		s := table.testSyn(now, n, 0).Server
+		table.testData(now+5*ms, n, s.Mark, 7, 10)
+		table.testData(now+230*ms, n, s.Mark, 8, 0)
+		told = len(table.limits)
+	}
+	changes := table.TakeLimits()
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Service, "desk")
+	is.True(changes[0].Limit > 0 && changes[0].Median > lateAbove)
+	is.Equal(len(table.TakeLimits()), 0)
+	is.Equal(table.Lanes()[0].Limit, l.limit)
+}
--- a/pkg/steer/report.go
+++ b/pkg/steer/report.go
@@ -41,3 +41,42 @@
 	})
 	return out
 }
+
+// LaneReport is what a host knows of a service's load.
+type LaneReport struct {
+	Service string
+	// Limit bounds how many of the host's flows the servers work for; 0 for no
+	// limit.
+	Limit float64
+	// Busy is how many they work for, and Waiting how many SYNs wait, some of
+	// which may be over.
+	Busy, Waiting int
+}
+
+// Lanes returns the load of each service with flows, by service.
+func (t *Table) Lanes() []LaneReport {
+	var out []LaneReport
+	for service, l := range t.lanes {
+		out = append(out, LaneReport{Service: service, Limit: l.limit, Busy: l.busy, Waiting: len(l.fresh) + len(l.late)})
+	}
+	slices.SortFunc(out, func(a, b LaneReport) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// LimitChange tells that a service got a limit, or has none any more.
+type LimitChange struct {
+	Service string
+	// Limit is 0 if there is none any more.
+	Limit float64
+	Busy  int
+	// Median is the median answer of the window that decided, as a part of the
+	// routes' objectives.
+	Median float64
+}
+
+// TakeLimits returns the changes since the last call.
+func (t *Table) TakeLimits() []LimitChange {
+	out := t.limits
+	t.limits = nil
+	return out
+}
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -56,7 +56,9 @@
 	queued []*lane
 	due    dueHeap
 	// pins are those that other hosts are to be told.
-	pins    []Pin
+	pins []Pin
+	// limits are the changes that the embedder has not taken.
+	limits  []LimitChange
 	sweepAt time.Duration
 	// leaving tells that flows of this host may go on by others.
 	leaving bool
@@ -325,7 +327,12 @@
 		h.speed.add(now, ratio)
 	}
 	if path := t.view.Routes[f.key.Service]; path != nil && path.Objective > 0 {
-		t.lane(f.service).answered(now, f.sentAt, v.Answer.Seconds()/path.Objective.Seconds())
+		l := t.lane(f.service)
+		limited := l.limit > 0
+		l.answered(now, f.sentAt, v.Answer.Seconds()/path.Objective.Seconds())
+		if limited != (l.limit > 0) {
+			t.limits = append(t.limits, LimitChange{Service: f.service, Limit: l.limit, Busy: l.busy, Median: l.median})
+		}
 	}
 }
 
