--- a/spec/check.sh
+++ b/spec/check.sh
@@ -44,4 +44,7 @@
 expect bad once NORESERVE
 expect bad once NOFORGOT
 expect bad once PAIR
+expect good refuse
+expect bad refuse FIRST
+expect bad refuse LATE
 exit "$failed"
