--- a/pkg/steer/lane.go
+++ b/pkg/steer/lane.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"lagoonramp.org/lagoonramp/pkg/fleet"
 )
 
 const (
@@ -46,8 +44,9 @@
 	// has given up.
 	answerShare = 2.0
 	// copyMargin is how long before the next copy of a SYN is due its flow is not
-	// refused any more: the copy may open it by another host.
-	copyMargin = 20 * time.Millisecond
+	// refused any more: the copy may open it by another host, and a busy host
+	// reads SYNs late.
+	copyMargin = 100 * time.Millisecond
 	// compactAbove is from how many entries on a stack is cleared of those
 	// that are over.
 	compactAbove = 256
@@ -180,62 +179,6 @@
 	l.cutAt = now
 }
 
-// holds decides whether a new flow's SYN waits at the host.
-func (t *Table) holds(now time.Duration, f *flow, path *fleet.Path, p *Packet) bool {
-	l := t.lane(f.service)
-	objective := time.Duration(freshShare * float64(path.Objective))
-	f.late = p.Copy > 0 || path.Objective > 0 && p.Waited >= objective
-	if !l.full(f.late) {
-		return false
-	}
-	f.lastAt = now
-	f.lateEnd = now + t.lateWait(path) - p.Waited
-	if l.limit == 0 {
-		if p.Copy > 1 {
-			return false
-		}
-		f.lateEnd = now + copyWait
-	}
-	l.held = true
-	end := f.lateEnd
-	if !f.late {
-		end = min(end, now+objective)
-	}
-	t.enqueue(l, f)
-	t.due.push(dueEntry{at: end, flow: f, serial: f.serial, kind: dueHold})
-	return true
-}
-
-// expect has a flow looked at whose answer may never be seen.
-func (t *Table) expect(now time.Duration, f *flow) {
-	if path := t.view.Routes[f.key.Service]; path != nil && path.Objective > 0 {
-		end := now + time.Duration(answerShare*float64(path.Objective))
-		t.due.push(dueEntry{at: end, flow: f, serial: f.serial, kind: dueAnswer})
-	}
-}
-
-// lateWait returns the age up to which a SYN waits.
-func (t *Table) lateWait(path *fleet.Path) time.Duration {
-	if path.Timeout == 0 {
-		return maxLateWait
-	}
-	return min(maxLateWait, time.Duration(lateShare*float64(path.Timeout)))
-}
-
-// enqueue puts a held flow's SYN into its lane.
-func (t *Table) enqueue(l *lane, f *flow) {
-	w := waiting{flow: f, serial: f.serial}
-	if f.late {
-		l.late = push(l.late, w, true)
-	} else {
-		l.fresh = push(l.fresh, w, false)
-	}
-	if !l.queued {
-		l.queued = true
-		t.queued = append(t.queued, l)
-	}
-}
-
 func push(stack []waiting, w waiting, late bool) []waiting {
 	if len(stack) >= compactAbove {
 		stack = slices.DeleteFunc(stack, func(w waiting) bool { return !w.waits(late) })
@@ -276,68 +219,5 @@
 	return len(l.fresh) > 0 && !l.full(false) || len(l.late) > 0 && !l.full(true)
 }
 
-// released returns a held SYN for which there is room now; ok is false if there
-// is none.
-func (t *Table) released(now time.Duration) (Resend, bool) {
-	for _, l := range t.queued {
-		for l.hasRoom() {
-			f := l.next()
-			if f == nil {
-				break
-			}
-			if r, ok := t.release(now, f); ok {
-				return r, true
-			}
-		}
-	}
-	t.queued = slices.DeleteFunc(t.queued, func(l *lane) bool {
-		l.queued = len(l.fresh)+len(l.late) > 0
-		return !l.queued
-	})
-	return Resend{}, false
-}
-
 // room reports whether a SYN that waits may go.
 func (t *Table) room() bool { return slices.ContainsFunc(t.queued, (*lane).hasRoom) }
-
-// release sends a held SYN.
-func (t *Table) release(now time.Duration, f *flow) (Resend, bool) {
-	s := t.choose(now, f.service, nil)
-	if s == nil {
-		t.drop(f)
-		return Resend{}, false
-	}
-	t.send(now, f, s)
-	n := copy(t.opening[:], f.opening[:f.length])
-	return Resend{Key: f.key, Server: s, Opening: t.opening[:n]}, true
-}
-
-// holdEnded decides for a SYN that has waited for as long as it may: a fresh one
-// becomes late, a late one is refused.
-func (t *Table) holdEnded(now time.Duration, f *flow) (Resend, bool) {
-	if now < f.lateEnd {
-		f.late = true
-		t.enqueue(t.lane(f.service), f)
-		t.due.push(dueEntry{at: f.lateEnd, flow: f, serial: f.serial, kind: dueHold})
-		return Resend{}, false
-	}
-	if t.lane(f.service).limit == 0 {
-		return t.release(now, f)
-	}
-	key, mine := f.key, f.copies > 0 && now < f.copyEnd-copyMargin
-	t.drop(f)
-	return Resend{Key: key}, mine
-}
-
-// noteCopy notes a copy of a SYN. While all of them come here, no other host can
-// have sent one to a server, and the flow may be refused.
-func (f *flow) noteCopy(now time.Duration, p *Packet) {
-	switch p.Copy {
-	case f.copies:
-		f.copies++
-	case f.copies - 1: // It came twice.
-	default:
-		f.copies = -1
-	}
-	f.copyEnd = now + p.Next
-}
--- a/pkg/steer/lane_test.go
+++ b/pkg/steer/lane_test.go
@@ -78,8 +78,12 @@
 						h = 1
 					}
 					elsewhere[1-h] = true // Also if it is lost on the way to h: it might not have been.
-					if rng.IntN(4) > 0 {
-						hosts[h].copyOf(now, 1, c)
+					if rng.IntN(4) == 0 {
+						continue
+					}
+					if v := hosts[h].copyOf(now, 1, c); v.Action == Refuse {
+						is.True(!elsewhere[h])
+						refused++
 					}
 				}
 				for h, table := range hosts {
@@ -95,6 +99,26 @@
 	is.New(t).True(refused > 50)
 }
 
+// TestRefusalComesAtOnce checks that a caller whose SYNs all came here is told
+// as soon as its SYN has waited for long enough.
+func TestRefusalComesAtOnce(t *testing.T) {
+	is := is.New(t)
+	table := newFullTable(1)
+	is.Equal(table.copyOf(0, 1, 0).Action, Hold)
+	is.Equal(table.resendAll(190*ms), nil)
+	is.Equal(table.copyOf(200*ms, 1, 1).Action, Hold)
+	is.Equal(table.resendAll(600*ms), nil)
+	is.Equal(table.copyOf(601*ms, 1, 2), Verdict{Action: Refuse, Reason: Overload})
+	is.Equal(table.Held(), 0)
+	// A shorter timeout ends between two copies.
+	table.view.Routes[route].Timeout = 800 * ms
+	table.copyOf(0, 2, 0)
+	table.copyOf(200*ms, 2, 1)
+	r, ok := table.Due(321 * ms)
+	is.True(ok)
+	is.Equal(r, Resend{Key: key(2)})
+}
+
 // TestLimitFollowsTheAnswers plays windows of answers.
 func TestLimitFollowsTheAnswers(t *testing.T) {
 	is := is.New(t)
