--- a/pkg/spread/doc.go
+++ b/pkg/spread/doc.go
@@ -8,6 +8,9 @@
 // adopts one, and by the revision that travels with every membership message,
 // which repairs what a lost notice left behind.
 //
+// Where nothing but a watcher's news is to reach all hosts, a Part hands it on
+// from delegate to delegate.
+//
 // Conventions. Time is a time.Duration since an epoch that the embedder
 // chooses. Hosts are named by the hash of their names.
 package spread
--- a/pkg/steer/doc.go
+++ b/pkg/steer/doc.go
@@ -12,6 +12,10 @@
 // the mark of either: the first packet after the SYN carries the mark of the
 // server whose answer the caller took first, and the Table keeps the flow there.
 //
+// While a service's servers answer too late for their routes' objectives, the
+// Table limits the flows that it sends them: SYNs wait in a lane, the newest goes
+// first, and those that cannot be served any more are refused.
+//
 // Conventions. A Table belongs to one goroutine. Time is a time.Duration since
 // an epoch that the embedder chooses.
 package steer
