The soak has crests, in which hosts limit and refuse flows

Cause: the soak's load never reached a limit, so that refusing beside faults was proved by a property test and a model only.

--- a/.ci/mutants.sh
+++ b/.ci/mutants.sh
@@ -25,7 +25,7 @@
   exit 1
 }
 
-mutant "marks forgotten" pkg/steer/table.go "	s := t.view.Marked[m]
+mutant "marks forgotten" pkg/steer/observe.go "	s := t.view.Marked[m]
 	if s == nil {" "	s := t.choose(0, t.view.Marked[m].Service, nil)
 	if s == nil {"
 mutant "leaving ignored" pkg/fleet/builder.go "	if r.server.State != Ready {" "	if false {"
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,7 @@
 	}
 	group.Go(w.probeLoop)
 	group.Go(w.versionLoop)
+	group.Go(w.crestLoop)
 	w.inject()
 	w.note("no more faults")
 	w.finish()
@@ -99,8 +100,12 @@
 
 // request sends a request and checks what is promised of any outcome.
 func (w *world) request(route netip.AddrPort, id string, size int) stub.Outcome {
+	return w.requestWith(route, id, size, time.Duration(size%7+2)*time.Millisecond)
+}
+
+func (w *world) requestWith(route netip.AddrPort, id string, size int, work time.Duration) stub.Outcome {
 	began := time.Now()
-	o := w.caller.Do(route, id, size, time.Duration(size%7+2)*time.Millisecond, deadline)
+	o := w.caller.Do(route, id, size, work, deadline)
 	w.requests.Add(1)
 	ran := w.ledger.Ran(id)
 	w.mu.Lock()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -193,7 +193,7 @@
 		more = `,{"Name":"r3","Host":"198.18.0.3","Prefix":"/443/","Service":"entry-desk"}`
 	}
 	w.store.Put("op/config", fmt.Appendf(nil, `{"Version":%d,"Routes":[
-		{"Name":"r1","Host":"198.18.0.1","Prefix":"/443/","Service":"entry-desk"},
+		{"Name":"r1","Host":"198.18.0.1","Prefix":"/443/","Service":"entry-desk","TimeoutMs":1500,"TargetLatencyMs":60},
 		{"Name":"r2","Host":"198.18.0.2","Prefix":"/443/","Service":"catalogue-press"}%s],
 		"Services":[{"Name":"entry-desk"},{"Name":"catalogue-press"}],"Limits":{"IdleTimeoutMs":15000}}`, w.version, more))
 	if idle != w.idle {
