Bound what digests of strangers can do

Cause (reading the diff): a digest with a negative age made a view look fresh for as long as it said; rounds of made-up origins piled up while a host was behind. Change: ages are at least 0, at most 32 rounds wait. Test: TestForgedDigestsAreBounded.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -152,6 +152,7 @@
 	if err != nil || a == p.host.set.Peer {
 		return
 	}
+	d.Age = max(0, d.Age) // A replica cannot be current in the future.
 	changed := p.learn(now, a, d.DataCentre, now)
 	for _, k := range d.Known {
 		if other, err := netip.ParseAddrPort(k.Address); err == nil {
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -152,3 +152,22 @@
 		is.Equal(p.host.digestsSent.Load(), want)
 	}
 }
+
+// TestForgedDigestsAreBounded checks that digests of strangers neither make a
+// view look fresh for ever nor pile up.
+func TestForgedDigestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPeers(t, 1)
+	_, err := c.replica.Take(0, &mirror.Delta{Whole: true, Revision: 7})
+	is.NoErr(err)
+	now := time.Minute
+	p.heard(now, &digest{From: "x", Address: "127.0.9.77:9", Revision: 7, Age: -time.Hour}, c)
+	is.Equal(c.replica.Age(2*time.Minute), time.Minute)
+	for i := range 1000 {
+		p.heard(now, &digest{
+			From: "x", Address: "127.0.9.77:9", Revision: 9,
+			Round: &round{Origin: fmt.Sprintf("127.0.8.1:%d", i+1), Part: spread.Everyone},
+		}, c)
+	}
+	is.True(len(p.waiting) <= maxWaiting)
+}
--- a/internal/entry/round.go
+++ b/internal/entry/round.go
@@ -15,6 +15,8 @@
 	directHosts = 12
 	// roundDegree is to how many others a host hands a round on.
 	roundDegree = 4
+	// maxWaiting bounds the rounds that wait for a state; there are few origins.
+	maxWaiting = 32
 )
 
 // round is a digest that a host that the store serves sends to all others, who
@@ -61,6 +63,9 @@
 // until it has caught up.
 func (p *peers) handOn(now time.Duration, d *digest, c *control) {
 	if c.replica.Revision() < d.Revision {
+		if len(p.waiting) >= maxWaiting {
+			clear(p.waiting)
+		}
 		p.waiting[d.Round.Origin] = d.Round
 		return
 	}
