Limit a service only if its answers take twice what they take without queues

Cause (reading the decision): with an objective that requests cannot meet even at idle servers, every window was late, and the limit fell to two flows a host: the service would have been throttled for nothing. Change: a lane learns what answers take without queues; only a median beyond 0.6 of the objective and twice that base sets or lowers a limit. While there is a limit the base follows longer answers slowly, so that a limit ends by itself if the work has become longer. Failed on the way: the shortest median as base (too short at 70% load). Before: TestObjectiveBelowTheWorkLimitsNothing fails (with 1.6 and the shortest median too).

--- a/pkg/steer/crest_test.go
+++ b/pkg/steer/crest_test.go
@@ -263,3 +263,16 @@
 		is.True(newCrestWorld(plan, 1, 7).run().share() > 0.97)
 	}
 }
+
+// TestObjectiveBelowTheWorkLimitsNothing declares an objective that requests
+// cannot meet even at idle servers: fewer flows at a time would not help them.
+func TestObjectiveBelowTheWorkLimitsNothing(t *testing.T) {
+	for _, objective := range []time.Duration{50 * ms, 150 * ms, 250 * ms} {
+		is := is.New(t)
+		plan := association
+		plan.work, plan.objective, plan.goal = 200*ms, objective, 600*ms
+		plan.rate = 0.7 * float64(plan.servers*plan.slots) / plan.work.Seconds()
+		w := newCrestWorld(plan, 1, 7).run()
+		is.True(w.share() > 0.99)
+	}
+}
--- a/pkg/steer/lane.go
+++ b/pkg/steer/lane.go
@@ -15,6 +15,16 @@
 	windowAnswers = 8
 	windowFew     = 2
 	windowTime    = 150 * time.Millisecond
+	// queuedAbove is how many times its base the median has to be: below it,
+	// the requests' own work takes the time, and a limit would not help.
+	queuedAbove = 2.0
+	// baseFalls and baseRises are the weights of a window's median in the base
+	// if it is shorter or longer, baseLimited that of a longer one while there
+	// is a limit: then it is longer because of the load, or the work has
+	// become longer.
+	baseFalls   = 0.1
+	baseRises   = 0.01
+	baseLimited = 0.002
 	// goal is the median answer that a cut of the limit aims at, maxCut the
 	// most that is cut at a time, and grow the growth after answers in time.
 	goal   = 0.4
@@ -73,8 +83,9 @@
 	lateSince, cutAt time.Duration
 	answers          []float64
 	windowAt         time.Duration
-	// median is that of the latest window.
-	median float64
+	// median is that of the latest window, and base what it is without
+	// queues.
+	median, base float64
 	// fresh and late are the SYNs that wait, the newest last.
 	fresh, late []waiting
 	queued      bool
@@ -146,7 +157,8 @@
 	slices.Sort(l.answers)
 	median := l.answers[len(l.answers)/2]
 	l.median = median
-	if median <= lateAbove {
+	l.learn(median)
+	if median <= max(lateAbove, queuedAbove*l.base) {
 		l.lateSince = 0
 		if l.limit > 0 {
 			l.raise()
@@ -161,6 +173,20 @@
 	}
 }
 
+// learn takes a window's median into the base.
+func (l *lane) learn(median float64) {
+	weight := baseRises
+	switch {
+	case l.base == 0:
+		weight = 1
+	case median < l.base:
+		weight = baseFalls
+	case l.limit > 0:
+		weight = baseLimited
+	}
+	l.base += weight * (median - l.base)
+}
+
 // raise lets more flows to the servers, and ends the limit if none waits for it.
 func (l *lane) raise() {
 	l.limit = max(l.limit+1, grow*l.limit)
@@ -175,7 +201,7 @@
 	if l.limit > 0 {
 		from = min(from, l.limit)
 	}
-	l.limit = max(minLimit, from*max(maxCut, goal/median))
+	l.limit = max(minLimit, from*max(maxCut, max(goal, l.base)/median))
 	l.cutAt = now
 }
 
--- a/pkg/steer/lane_test.go
+++ b/pkg/steer/lane_test.go
@@ -181,7 +181,7 @@
 	is := is.New(t)
 	table := newFullTable(1)
 	l := table.lane("desk")
-	l.limit, l.busy = 0, 0
+	l.limit, l.busy, l.base = 0, 0, 0.2
 	now := time.Second
 	told := 0
 	for n := 0; told == 0 && n < 200; n++ {
