--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -81,9 +81,23 @@
 		}
 	})
 	s.Services = services(h.traffic.report.Load())
+	addLimits(s.Services, h.traffic.lanes.Load())
 	return s
 }
 
+// addLimits notes what waits and is limited in the services' status.
+func addLimits(services []wire.ServiceStatus, lanes *[]steer.LaneReport) {
+	if lanes == nil {
+		return
+	}
+	for _, l := range *lanes {
+		i := slices.IndexFunc(services, func(s wire.ServiceStatus) bool { return s.Name == l.Service })
+		if i >= 0 {
+			services[i].Limit, services[i].Waiting = l.Limit, l.Waiting
+		}
+	}
+}
+
 // services puts a report of servers into the form that operators see.
 func services(r *[]steer.ServerReport) []wire.ServiceStatus {
 	out := []wire.ServiceStatus{}
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"lagoonramp.org/lagoonramp/internal/event"
+	"lagoonramp.org/lagoonramp/internal/wire"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/pkg/spread"
 	"lagoonramp.org/lagoonramp/pkg/steer"
@@ -171,3 +172,11 @@
 	}
 	is.True(len(p.waiting) <= maxWaiting)
 }
+
+func TestStatusTellsLimits(t *testing.T) {
+	is := is.New(t)
+	services := []wire.ServiceStatus{{Name: "desk"}, {Name: "press"}}
+	addLimits(services, &[]steer.LaneReport{{Service: "press", Limit: 7, Waiting: 3}, {Service: "gone", Limit: 9}})
+	is.Equal(services, []wire.ServiceStatus{{Name: "desk"}, {Name: "press", Limit: 7, Waiting: 3}})
+	addLimits(services, nil) // Before the first report.
+}
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -53,6 +53,9 @@
 	Waiting int `json:"waiting"`
 	Running int `json:"running"`
 	Slots   int `json:"slots"`
+	// Limit bounds this host's flows at the servers while they answer late; 0
+	// for no limit.
+	Limit float64 `json:"limit,omitempty"`
 	// The counts are since the host's start.
 	Offered  uint64         `json:"offered"`
 	Answered uint64         `json:"answered"`
