--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -16,7 +16,7 @@
 	if h := t.servers[s.Mark]; h.suspect() {
 		h.retryAt = now + maxRest
 	}
-	t.due.push(dueEntry{at: now + t.centre(s.DataCentre).wait(), flow: f, serial: f.serial})
+	t.due.push(dueEntry{at: now + t.centre(s.DataCentre).wait(), flow: f, serial: f.serial, kind: dueHandshake})
 }
 
 // NextDue returns when Due has something to do; ok is false if nothing waits.
@@ -48,7 +48,7 @@
 			r, ok = t.holdEnded(now, f)
 		case dueAnswer:
 			t.setBusy(f, 0)
-		default:
+		case dueHandshake:
 			r, ok = t.resend(now, f)
 		}
 		if ok {
