Mutations have to change the product

Cause: 'view never changes' was not found: its text had moved, grep took each of its lines for a pattern of its own, and the product was tried unchanged. Change: the text is the product's again, and a mutation that changes nothing ends the script.

--- a/.ci/mutants.sh
+++ b/.ci/mutants.sh
@@ -12,8 +12,10 @@
   rm -rf "$work/tree"
   mkdir "$work/tree"
   git ls-files -z -- '*.go' go.mod go.sum internal pkg | xargs -0 cp --parents -t "$work/tree"
-  grep -qF -- "$from" "$file" || { echo "mutant $name: $file has no line: $from"; exit 1; }
-  python3 -c 'import sys; p, a, b = sys.argv[1:]; s = open(p).read(); open(p, "w").write(s.replace(a, b, 1))' "$work/tree/$file" "$from" "$to"
+  if ! python3 -c 'import sys; p, a, b = sys.argv[1:]; s = open(p).read(); open(p, "w").write(s.replace(a, b, 1)); sys.exit(a not in s)' "$work/tree/$file" "$from" "$to"; then
+    echo "mutant $name: $file has no such text"
+    exit 1
+  fi
   (cd "$work/tree" && go build -o "$work/bin/" ./cmd/lagoonramp ./cmd/rampbench)
   for seed in 1 2 3; do
     if ! timeout 90 "$work/bin/rampbench" soak --seed "$seed" --duration 20s >"$work/out" 2>&1; then
@@ -30,6 +32,7 @@
 	if s == nil {"
 mutant "leaving ignored" pkg/fleet/builder.go "	if r.server.State != Ready {" "	if false {"
 mutant "view never changes" internal/entry/control.go "	if changed {
+		c.peers.learnRecords(now, u.delta.Items)
 		c.build(now)
 	}" "	if changed && !c.viewed {
 		c.build(now)
