A try that has ended reads nothing of a later try's body

A server that sheds a request before it has read the body ends the try while the transport's writer still reads it. All tries shared one reader, which was rewound under that writer: bytes meant for the second try went to the first one's connection. A caller could be told "unknown" for a request that was not run, and a server could get a body with a gap.

Ruled out: load.

Change: each try reads through a reader of its own over what is kept; the reader of a former try is closed, and what it was reading when it ended is kept for the next. The same for a keyed request that is passed to its owner again.

A server that closes its connection with unread bytes resets its own answer: this stays "unknown", which is true.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -41,7 +41,7 @@
 
 // forward sends the request to the granted server and passes the answer on.
 // It gives the slot back as soon as the server is done.
-func (x *exchange) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, body *replay, g grant) *failure {
+func (x *exchange) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, body io.ReadCloser, g grant) *failure {
 	s := x.service
 	var once atomic.Bool
 	leave := func(failed bool) {
@@ -92,7 +92,7 @@
 }
 
 // outgoing makes the request for the server.
-func (x *exchange) outgoing(ctx context.Context, r *http.Request, body *replay, address string) *http.Request {
+func (x *exchange) outgoing(ctx context.Context, r *http.Request, body io.ReadCloser, address string) *http.Request {
 	out := &http.Request{
 		Method:        r.Method,
 		URL:           &url.URL{Scheme: "http", Host: address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
@@ -105,9 +105,7 @@
 	}
 	copyEndToEnd(out.Header, r.Header)
 	out.Header.Del(OutcomeHeader)
-	if !body.none {
-		out.Body = io.NopCloser(body)
-	}
+	out.Body = body
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil // Add none of our own.
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -411,6 +411,38 @@
 	is.Equal(outcome, "answered")
 }
 
+// TestEachTryOfAShedRequestSendsTheWholeBody has a server that sheds requests
+// before it reads their bodies, so that a transport still reads for a try that
+// has ended.
+func TestEachTryOfAShedRequestSendsTheWholeBody(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("0123456789abcdef", 1<<11)
+	for range 20 {
+		var tries atomic.Int64
+		got := make(chan string, 1)
+		server := web(t, func(w http.ResponseWriter, r *http.Request) {
+			if tries.Add(1) < maxTries {
+				answer := http.NewResponseController(w)
+				_ = answer.EnableFullDuplex()
+				w.Header().Set(OutcomeHeader, "not-run")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_ = answer.Flush()
+				_, _ = io.Copy(io.Discard, r.Body) // A close with unread bytes would reset the answer.
+				return
+			}
+			b, _ := io.ReadAll(r.Body)
+			got <- string(b)
+		})
+		base, _ := serve(t, Targets{}, server)
+		resp, err := http.Post(base+"/entries", "text/plain", strings.NewReader(body))
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(resp.Header.Get(OutcomeHeader), "answered")
+		is.True(<-got == body)
+	}
+}
+
 func TestDrainLetsRequestsEnd(t *testing.T) {
 	is := is.New(t)
 	started := make(chan struct{})
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -122,10 +122,11 @@
 	body := newReplay(r)
 	var last *failure
 	for try := 0; try < maxTries; try++ {
-		if try > 0 && (!body.rewind() || !desk.mayRetry()) {
+		source, kept := body.try()
+		if try > 0 && (!kept || !desk.mayRetry()) {
 			break
 		}
-		last = x.try(ctx, w, r, body)
+		last = x.try(ctx, w, r, source)
 		if last == nil {
 			desk.count(retry.Answered)
 			return retry.Answered
@@ -156,7 +157,7 @@
 
 // try admits the request, forwards it once and passes the answer on. It
 // returns nil if the whole answer was passed on.
-func (x *exchange) try(ctx context.Context, w http.ResponseWriter, r *http.Request, body *replay) *failure {
+func (x *exchange) try(ctx context.Context, w http.ResponseWriter, r *http.Request, body io.ReadCloser) *failure {
 	desk := x.service.desk
 	kind, long := desk.classify(r.Method, r.URL.Path)
 	left := time.Until(x.deadline)
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -105,8 +104,12 @@
 		return
 	}
 	body := newReplay(r)
-	r.Body = io.NopCloser(body)
 	for time.Now().Before(x.deadline) {
+		source, kept := body.try()
+		if !kept {
+			break
+		}
+		r.Body = source
 		plan := once.MakePlan(o.now(), hash, o.cluster.Self(), o.cluster.Peers(o.epoch), o.Window())
 		switch {
 		case plan.Owner == o.cluster.Self():
@@ -120,7 +123,7 @@
 		if err == nil {
 			return
 		}
-		if delivered || !body.rewind() {
+		if delivered {
 			x.unsure(w, "the host that runs the request did not answer")
 			return
 		}
