A flow that has moved is not taken for a silent server

Each further server answers too and changes the caller's mark, and servers taken for silent get no flows for 0.2 to 1.6 s.

Ruled out: slow handling by the host (the same with no processor time charged), servers without room, callers that had given up (a printed trace of each packet shows the flow's data at another host 10 ms later).

Change: for 1.5 s after its start a host sends a SYN on only when a copy of it comes, as a leaving host did before; and time alone sends a SYN to one other server for each time that the caller sends it.

--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -50,6 +51,10 @@
 	reportEvery = time.Second
 	// maxHold is how long packets wait for the first view.
 	maxHold = time.Second
+	// settleFor is how long after its start a host takes silence for flows that
+	// routers have moved: they need up to half a second to see that a host is
+	// ready, and hosts that lost power together return within a second.
+	settleFor = 1500 * time.Millisecond
 	// freshness is how old the view may be for a refusal of an unknown route.
 	freshness = 3 * time.Second
 )
@@ -227,12 +232,15 @@
 func (t *traffic) refresh(now time.Duration) {
 	t.takeTold(now)
 	if t.leaving.Load() {
-		t.table.Leave()
+		t.table.Unsettle(math.MaxInt64)
 	}
 	p := t.view.Load()
 	if p == t.current {
 		return
 	}
+	if t.current == nil {
+		t.table.Unsettle(now + settleFor)
+	}
 	if t.current == nil || p.view != t.current.view {
 		t.table.SetView(now, p.view)
 	}
--- /dev/null
+++ b/internal/entry/traffic_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+	"lagoonramp.org/lagoonramp/pkg/steer"
+)
+
+// TestStartedHostWaitsForTheRouters has the packets of a flow move to another
+// host after its SYN came to one that has just started: its server must not be
+// taken for silent, or three more would get the SYN and answer it.
+func TestStartedHostWaitsForTheRouters(t *testing.T) {
+	is := is.New(t)
+	k := steer.Key{Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:443")}
+	var view atomic.Pointer[published]
+	view.Store(&published{hosts: 1, view: twoServers(k.Service)})
+	host := &traffic{view: &view, table: steer.NewTable(steer.Settings{Rand: rand.New(rand.NewPCG(1, 1))})}
+	open := func(now time.Duration, sequence uint32) {
+		v := host.table.Packet(now, &steer.Packet{Key: k, Sequence: sequence, Syn: true}, make([]byte, 36))
+		is.Equal(v.Action, steer.Forward)
+	}
+
+	host.refresh(0)
+	open(0, 1)
+	_, resent := host.table.Due(settleFor - 1)
+	is.True(!resent)
+
+	open(settleFor, 2)
+	_, resent = host.table.Due(settleFor + time.Second)
+	is.True(resent)
+}
+
+// twoServers returns a view with a route to a service with two servers.
+func twoServers(route netip.AddrPort) *fleet.View {
+	a := &fleet.Server{ID: "a", Service: "desk", DataCentre: "x", Slots: 2, Mark: 1}
+	b := &fleet.Server{ID: "b", Service: "desk", DataCentre: "x", Slots: 2, Mark: 2}
+	return &fleet.View{
+		Version: 1,
+		Usable:  map[string][]*fleet.Server{"desk": {a, b}},
+		Marked:  map[uint32]*fleet.Server{1: a, 2: b},
+		Routes:  map[netip.AddrPort]*fleet.Path{route: {Targets: []fleet.Target{{Service: "desk", Weight: 1}}}},
+	}
+}
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -13,6 +13,9 @@
 	tries int
 	// pinned is the mark of the server at which the flow opened, 0 before.
 	pinned uint32
+	// timed tells that the SYN went to another server since its caller sent it
+	// last.
+	timed bool
 	// sentAt is when the SYN went to the latest server and lastAt when the
 	// latest packet came.
 	sentAt, lastAt time.Duration
--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -58,17 +58,19 @@
 	return t.released(now)
 }
 
-// resend sends a flow's SYN to another server, unless the host leaves: the
-// routers may have moved the flow to a host that sees what this one misses.
+// resend sends a flow's SYN to another server, once for each time that the
+// caller sends it. If two servers stay silent, routers have rather moved the
+// flow to a host that sees what this one misses: each further server that gets
+// the SYN would answer too, and may take the flow away from the one where it
+// opened.
 func (t *Table) resend(now time.Duration, f *flow) (Resend, bool) {
-	if t.leaving {
-		return Resend{}, false
-	}
-	if f.late && t.lane(f.service).limit > 0 || f.tries >= t.set.Tries {
-		// Its caller may have given up.
+	moved := f.timed || now < t.unsettledEnd
+	callerLeft := f.late && t.lane(f.service).limit > 0
+	if moved || callerLeft || f.tries >= t.set.Tries {
 		t.setBusy(f, 0)
 		return Resend{}, false
 	}
+	f.timed = true
 	silent := f.tried[f.tries-1]
 	s := t.sendOn(now, f)
 	if s == nil {
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -60,8 +60,8 @@
 	// limits are the changes that the embedder has not taken.
 	limits  []LimitChange
 	sweepAt time.Duration
-	// leaving tells that flows of this host may go on by others.
-	leaving bool
+	// unsettledEnd is up to when routers may hand flows of this host to others.
+	unsettledEnd time.Duration
 	opening [maxOpening]byte
 }
 
@@ -116,8 +116,10 @@
 	}
 }
 
-// Leave says that the routers are about to turn away from this host.
-func (t *Table) Leave() { t.leaving = true }
+// Unsettle says that the routers may hand flows of this host to other hosts up
+// to a time, since hosts come or go. Meanwhile a SYN is sent to another server
+// only when its caller repeats it.
+func (t *Table) Unsettle(end time.Duration) { t.unsettledEnd = max(t.unsettledEnd, end) }
 
 // Held returns how many flows are remembered.
 func (t *Table) Held() int { return len(t.flows) }
@@ -166,9 +168,9 @@
 	return Verdict{Action: Forward, Server: s}
 }
 
-// synCopy sends a copy of a SYN where the latest one went. At a host that
-// leaves, a copy shows what time alone does not: that the flow still comes here
-// and the server stayed silent.
+// synCopy sends a copy of a SYN where the latest one went, or to another server
+// if that one stayed silent: the copy shows what time alone does not, that the
+// flow still comes here.
 func (t *Table) synCopy(now time.Duration, f *flow, p *Packet) Verdict {
 	f.lastAt = now
 	f.noteCopy(now, p)
@@ -180,9 +182,13 @@
 		m = f.tried[f.tries-1]
 	}
 	s := t.view.Marked[m]
-	if t.leaving && f.pinned == 0 && f.tries < t.set.Tries && (s == nil || now-f.sentAt >= t.centre(s.DataCentre).wait()) {
-		if next := t.sendOn(now, f); next != nil {
-			return Verdict{Action: Forward, Server: next}
+	if f.pinned == 0 {
+		f.timed = false
+		silent := s == nil || now-f.sentAt >= t.centre(s.DataCentre).wait()
+		if silent && f.tries < t.set.Tries {
+			if next := t.sendOn(now, f); next != nil {
+				return Verdict{Action: Forward, Server: next}
+			}
 		}
 	}
 	if s == nil {
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -354,18 +354,49 @@
 	}
 }
 
-// TestLeavingHostTakesNoMovedFlowForASilentServer checks that a host from which
-// the routers turn away does not send SYNs to second servers because the rest
-// of the handshakes goes by other hosts.
-func TestLeavingHostTakesNoMovedFlowForASilentServer(t *testing.T) {
+// TestMovedFlowIsNotTakenForASilentServer checks that a host from which
+// routers may take flows away does not send SYNs to second servers because the
+// rest of the handshakes goes by other hosts.
+func TestMovedFlowIsNotTakenForASilentServer(t *testing.T) {
+	t.Run("while hosts come or go", func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(1, "a", "b", "c")
+		first := table.testSyn(0, 1, 0).Server
+		table.Unsettle(time.Second)
+		is.Equal(table.resendAll(900*ms), nil)
+		is.Equal(table.servers[first.Mark].busy, 0)
+		is.True(!table.servers[first.Mark].suspect())
+	})
+	t.Run("a copy shows that the flow still comes here", func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(1, "a", "b", "c")
+		table.Unsettle(time.Second)
+		first := table.testSyn(0, 1, 0).Server
+		is.Equal(table.resendAll(199*ms), nil)
+		v := table.testSyn(200*ms, 1, 1)
+		is.Equal(v.Action, Forward)
+		is.True(v.Server != first)
+	})
+	t.Run("until the hosts are settled", func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(1, "a", "b", "c")
+		table.Unsettle(time.Second)
+		table.testSyn(time.Second, 1, 0)
+		is.Equal(len(table.resendAll(time.Second+firstWait)), 1)
+	})
+}
+
+// TestTimeAloneTriesOneOtherServer checks that a SYN goes to two servers at
+// most until its caller sends it again: the servers that a host takes for
+// silent would all answer a flow that has moved to another host.
+func TestTimeAloneTriesOneOtherServer(t *testing.T) {
 	is := is.New(t)
-	table := newTestTable(1, "a", "b", "c")
-	first := table.testSyn(0, 1, 0).Server
-	table.Leave()
-	is.Equal(table.resendAll(time.Second), nil)
-	is.Equal(table.testSyn(2*time.Second, 2, 0).Action, Forward)
-	// A copy of the SYN shows that the flow still comes here.
-	v := table.testSyn(200*ms, 1, 1)
-	is.Equal(v.Action, Forward)
-	is.True(v.Server != first)
+	table := newTestTable(1, "a", "b", "c", "d")
+	table.testSyn(0, 1, 0)
+	is.Equal(len(table.resendAll(firstWait)), 1)
+	is.Equal(table.resendAll(199*ms), nil)
+	third := table.testSyn(200*ms, 1, 1)
+	is.Equal(third.Action, Forward)
+	is.Equal(len(table.resendAll(599*ms)), 1)
+	is.Equal(table.flows[key(1)].tries, 4)
 }
