Do not tell the scheduler of calls that do not block

Cause: a batch of packets costs two calls for the packets, up to three looks at the clock of the machine's start (a system call each) and, as each of them told the Go scheduler that a thread may block, a wake-up of its monitor thread: strace of a host of the soak showed 4,802 futex, 10,796 nanosleep and 10,643 clock calls for 4,469 batches sent.

Change: the calls with MSG_DONTWAIT and the look at the clock go without notice to the scheduler; the loop looks at the clock once a batch.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -1,6 +1,9 @@
 // Package batch reads and writes datagrams of IPv4 in batches, with one system
 // call for several and no allocation: recvmmsg(2) and sendmmsg(2).
 //
+// The calls do not block, so the scheduler is not told of them: to wake its
+// monitor for each batch costs more than the calls.
+//
 // Conventions. A Reader or Writer belongs to one goroutine. Buffers have room
 // in front, so that a datagram can be sent on behind a frame without a copy.
 package batch
@@ -68,7 +71,7 @@
 	for i := range Size {
 		r.headers[i].Namelen = uint32(unsafe.Sizeof(r.names[i]))
 	}
-	n, _, errno := syscall.Syscall6(unix.SYS_RECVMMSG, fd, uintptr(unsafe.Pointer(&r.headers[0])), Size, unix.MSG_DONTWAIT, 0, 0)
+	n, _, errno := syscall.RawSyscall6(unix.SYS_RECVMMSG, fd, uintptr(unsafe.Pointer(&r.headers[0])), Size, unix.MSG_DONTWAIT, 0, 0)
 	r.n, r.errno = int(n), errno
 	return errno != syscall.EAGAIN
 }
@@ -143,7 +146,7 @@
 		w.names[i].Family = unix.AF_INET
 	}
 	w.send = func(fd uintptr) bool {
-		n, _, errno := syscall.Syscall6(unix.SYS_SENDMMSG, fd, uintptr(unsafe.Pointer(&w.headers[w.sent])), uintptr(w.n-w.sent), unix.MSG_DONTWAIT, 0, 0)
+		n, _, errno := syscall.RawSyscall6(unix.SYS_SENDMMSG, fd, uintptr(unsafe.Pointer(&w.headers[w.sent])), uintptr(w.n-w.sent), unix.MSG_DONTWAIT, 0, 0)
 		w.errno = errno
 		if errno == 0 {
 			w.sent += int(n)
--- a/internal/entry/clock.go
+++ b/internal/entry/clock.go
@@ -2,7 +2,9 @@
 
 import (
 	"sync/atomic"
+	"syscall"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -31,7 +33,9 @@
 // not tell it, that of the runtime's clock.
 func sinceBoot() time.Duration {
 	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+	// It does not block, so the scheduler need not be told of it.
+	_, _, errno := syscall.RawSyscall(unix.SYS_CLOCK_GETTIME, unix.CLOCK_BOOTTIME, uintptr(unsafe.Pointer(&t)), 0)
+	if errno != 0 {
 		return time.Since(processStart)
 	}
 	return time.Duration(t.Nano())
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -87,7 +87,9 @@
 	pauses   uint64
 	draining bool
 	counters Counters
-	lastAt   atomic.Int64
+	// at is when the loop looked at the clock last: each look is a system call.
+	at     time.Duration
+	lastAt atomic.Int64
 	// tell takes pins for other hosts; it must not block.
 	tell func([]steer.Pin)
 	// told holds pins of other hosts until the loop takes them, and wanted
@@ -168,7 +170,7 @@
 			continue
 		}
 		t.handle(n)
-		if at, ok := t.table.NextDue(); ok && at <= t.now() {
+		if at, ok := t.table.NextDue(); ok && at <= t.at {
 			t.resend()
 		}
 	}
@@ -186,14 +188,18 @@
 	}
 }
 
-func (t *traffic) now() time.Duration { return t.clock.now() }
+// now looks at the clock.
+func (t *traffic) now() time.Duration {
+	t.at = t.clock.now()
+	return t.at
+}
 
 // setDeadline ends the wait for packets when a SYN is due for another server.
 func (t *traffic) setDeadline() {
 	at, ok := t.table.NextDue()
 	var deadline time.Time
 	if ok {
-		deadline = time.Now().Add(at - t.now())
+		deadline = time.Now().Add(at - t.at)
 	}
 	if err := t.conn.SetReadDeadline(deadline); err != nil && !isClosed(err) {
 		t.log.failed("set the deadline of the packets' socket", err)
