Copies of SYNs wait for as long as their callers can be served

Change: any copy waits while the host's share of the slots is taken, up to twice the objective before the end of its caller's time, 1.1 s at most.

--- a/pkg/steer/crest_test.go
+++ b/pkg/steer/crest_test.go
@@ -195,18 +195,33 @@
 }
 
 // TestNewFlowsGoBeforeCopiesAfterAnOutage replays the return after a power-off
-// of all hosts, with and without holding the callers' copies.
+// of all hosts, with and without holding the callers' copies. Flows that begin
+// after the outage have to be served as if there had been none, and those that
+// waited must not be lost for it.
 func TestNewFlowsGoBeforeCopiesAfterAnOutage(t *testing.T) {
-	is := is.New(t)
-	plan := association
-	plan.rate = 560
-	plan.outageFrom, plan.outageTo, plan.end = 3*time.Second, 4500*ms, 5500*ms
-	var with, without float64
-	for seed := range uint64(5) {
-		with += newCrestWorld(plan, seed, 7).run().share()
-		without += newCrestWorld(plan, seed, 1).run().share()
+	for _, outage := range []time.Duration{1200 * ms, 1600 * ms} {
+		t.Run(outage.String(), func(t *testing.T) {
+			is := is.New(t)
+			plan := association
+			plan.rate, plan.objective = 560, plan.goal
+			plan.outageFrom, plan.outageTo = 3*time.Second, 3*time.Second+outage
+			plan.end = plan.outageTo + 2*time.Second
+			var with, without float64
+			servedWith, servedWithout := 0, 0
+			const seeds = 5
+			for seed := range uint64(seeds) {
+				w := newCrestWorld(plan, seed, 7).run()
+				with += w.share() / seeds
+				servedWith += w.served
+				w = newCrestWorld(plan, seed, 1).run() // Each host has room for all copies.
+				without += w.share() / seeds
+				servedWithout += w.served
+			}
+			is.True(with > 0.97)
+			is.True(with > without)
+			is.True(servedWith >= servedWithout)
+		})
 	}
-	is.True(with > without)
 }
 
 // TestOverloadedServersServeNewFlowsInTime replays a load beyond what the servers
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -17,10 +17,10 @@
 	f.lastAt = now
 	f.lateEnd = now + t.lateWait(path) - p.Waited
 	if l.limit == 0 {
-		if p.Copy > 1 {
+		f.lateEnd = now + copyWait(path) - p.Waited
+		if f.lateEnd <= now {
 			return false
 		}
-		f.lateEnd = now + copyWait
 	}
 	l.held = true
 	end := f.lateEnd
@@ -40,6 +40,15 @@
 	return min(maxLateWait, time.Duration(lateShare*float64(path.Timeout)))
 }
 
+// copyWait returns the age up to which a copy of a SYN waits where there is no
+// limit. What is left of the caller's time is for the server.
+func copyWait(path *fleet.Path) time.Duration {
+	if path.Timeout == 0 {
+		return maxLateWait
+	}
+	return min(maxLateWait, path.Timeout-time.Duration(serveShare*float64(path.Objective)))
+}
+
 // enqueue puts a held flow's SYN into its lane.
 func (t *Table) enqueue(l *lane, f *flow) {
 	w := waiting{flow: f, serial: f.serial}
--- a/pkg/steer/lane.go
+++ b/pkg/steer/lane.go
@@ -45,10 +45,10 @@
 	// patience is for how long answers have to be late before a limit is set:
 	// a burst passes by itself.
 	patience = 400 * time.Millisecond
-	// copyWait is how long the first copy of a SYN waits at most where there
-	// is no limit: callers send the second one 400 ms later and may give up
-	// soon after.
-	copyWait = 120 * time.Millisecond
+	// serveShare is the part of the objective that is left of a caller's time
+	// when a copy of its SYN has waited for as long as it may: an outage leaves
+	// queues at the servers.
+	serveShare = 2.0
 	// answerShare is the part of the objective after which a flow does not
 	// count as load any more: its answer went by another host, or its caller
 	// has given up.
