Only hosts that were heard of lately share the servers

Cause: a host that returned after a power-off took its share of the slots as one of all hosts that the store names, while the first hosts back took all flows: copies waited though the servers were idle, and some callers gave up.

Change: the share counts hosts of which this process has heard within 5 s, and 0.1 s more for each host that is known.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -222,7 +222,7 @@
 	if !c.replica.Loaded() {
 		confirmed = now - 2*freshness // What is missing may be there all the same.
 	}
-	c.host.published.Store(&published{view: v, confirmed: confirmed, hosts: 1 + len(c.peers.known)})
+	c.host.published.Store(&published{view: v, confirmed: confirmed, hosts: 1 + c.peers.live(now)})
 }
 
 // decode reads an item, unless that was done before.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,6 +33,11 @@
 	maxAge = 2500 * time.Millisecond
 	// forgetPeer is how long a host stays known of which nobody heard.
 	forgetPeer = 3 * time.Minute
+	// liveFor and livePerHost, for each host that is known, are how long ago
+	// others have heard of a host that shares the servers: the more hosts there
+	// are, the more rarely each is named.
+	liveFor     = 5 * time.Second
+	livePerHost = 100 * time.Millisecond
 	// staleDigest is how long nobody heard of a host when operators are told
 	// that it is silent.
 	staleDigest = time.Minute
@@ -302,6 +307,19 @@
 	}
 }
 
+// live returns how many other hosts take packets, as far as is known: those of
+// which this process has heard, and not too long ago.
+func (p *peers) live(now time.Duration) int {
+	since := now - liveFor - time.Duration(len(p.known))*livePerHost
+	n := 0
+	for _, other := range p.known {
+		if other.heardAt > max(0, since) {
+			n++
+		}
+	}
+	return n
+}
+
 // any returns some peer; there must be one.
 func (p *peers) any() *peer { return p.known[p.ids[rand.IntN(len(p.ids))]] }
 
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -139,6 +139,27 @@
 	is.Equal(len(p.known), 1)
 }
 
+// TestOnlyLiveHostsShareTheServers checks that hosts which may be down do not
+// count: after a power-off of all, the first host that is back takes all flows.
+func TestOnlyLiveHostsShareTheServers(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPeers(t, 0)
+	p.host.set.Decoder = recordDecoder{}
+	p.learnRecords(time.Second, []mirror.Item{
+		{Key: hostRecords + "h1", Value: []byte(`{"address":"127.0.9.1:9","dataCentre":"a"}`)},
+		{Key: hostRecords + "h2", Value: []byte(`{"address":"127.0.9.2:9","dataCentre":"b"}`)},
+	})
+	is.Equal(p.live(time.Second), 0)
+	p.heard(time.Second, &digest{From: "h1", DataCentre: "a", Address: "127.0.9.1:9"}, c)
+	is.Equal(p.live(time.Second), 1)
+	p.heard(2*time.Second, &digest{
+		From: "h1", DataCentre: "a", Address: "127.0.9.1:9",
+		Known: []knownHost{{Address: "127.0.9.2:9", Age: 500 * time.Millisecond}},
+	}, c)
+	is.Equal(p.live(2*time.Second), 2)
+	is.Equal(p.live(2*time.Second+liveFor+2*livePerHost), 0)
+}
+
 // TestNewHostIsGreeted checks that a host answers the first digest of another
 // one of its data centre, so that both know each other.
 func TestNewHostIsGreeted(t *testing.T) {
