--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -62,7 +62,7 @@
 	sweepAt time.Duration
 	// unsettledEnd is up to when routers may hand flows of this host to others.
 	unsettledEnd time.Duration
-	opening [maxOpening]byte
+	opening      [maxOpening]byte
 }
 
 // NewTable returns an empty table.
