A host that has just started does not refuse for want of servers

Ruled out: the time until hosts have a view (the first reset is 0.3 s after the store's return).

Change: for the grace of lapsed entries (2 s) after its first state a host says nothing where a service has no server; the copies of the SYN find one. Refusals for want of a route are as before.

--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -40,6 +40,9 @@
 	next time.Duration
 	// confirmed is when the state was known to be current.
 	confirmed time.Duration
+	// began is when a document was known first, and begun tells that one is.
+	began time.Duration
+	begun bool
 }
 
 type record struct {
@@ -90,9 +93,33 @@
 	}
 	b.addServers(now, v)
 	b.addRoutes(now, v)
+	if doc != nil {
+		v.Incomplete = b.incomplete(now, v)
+	}
 	return v
 }
 
+// incomplete reports whether a service of a route has no server, and the first
+// state is too young to tell that it has none: entries that lapsed with the
+// store come back within the grace.
+func (b *Builder) incomplete(now time.Duration, v *View) bool {
+	if !b.begun {
+		b.begun = true
+		b.began = now
+	}
+	end := b.began + b.set.LapseGrace
+	if now >= end {
+		return false
+	}
+	for _, p := range v.Routes {
+		if slices.ContainsFunc(p.Targets, func(t Target) bool { return len(v.Usable[t.Service]) == 0 }) {
+			b.wakeAt(end)
+			return true
+		}
+	}
+	return false
+}
+
 // Next returns when the view may change by itself, 0 for never: the embedder
 // builds it anew then, and again until Next is later.
 func (b *Builder) Next() time.Duration { return b.next }
--- a/pkg/fleet/builder_test.go
+++ b/pkg/fleet/builder_test.go
@@ -163,3 +163,22 @@
 	v = b.Build(time.Hour+61*time.Second, time.Hour, 2, document(2, "other"), nil)
 	is.True(!v.Routes[deskRoute].Allows("desk"))
 }
+
+// TestStartedHostKnowsOfNoServerOnlyLater checks a host that starts when the
+// store has just returned and all entries have lapsed with it.
+func TestStartedHostKnowsOfNoServerOnlyLater(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{})
+	doc := document(1, "desk")
+	const start = 10 * time.Second
+	is.True(!b.Build(start-time.Second, start, 0, nil, nil).Incomplete) // Nothing is known at all.
+	is.True(b.Build(start, start, 1, doc, nil).Incomplete)
+	is.Equal(b.Next(), start+defaultLapseGrace)
+	is.True(b.Build(start+time.Second, start, 1, doc, nil).Incomplete)
+	is.True(!b.Build(start+defaultLapseGrace, start, 1, doc, nil).Incomplete)
+	is.Equal(b.Next(), time.Duration(0))
+
+	b = NewBuilder(Settings{})
+	is.True(!b.Build(start, start, 1, doc, byID(server("a", "desk", "10.0.0.1:80", Ready))).Incomplete)
+	is.Equal(b.Next(), time.Duration(0)) // A service with servers needs no more looks.
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -108,6 +108,9 @@
 	// Revision is the store's revision that the view is of.
 	Revision uint64
 	Routes   map[netip.AddrPort]*Path
+	// Incomplete tells that a service without servers may have some: their
+	// entries may have lapsed while the store was away, before the host started.
+	Incomplete bool
 	// Usable holds the servers for new flows, by service, in order of their
 	// IDs.
 	Usable map[string][]*Server
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -155,6 +155,9 @@
 	service := chooseTarget(path.Targets, p.Key)
 	s := t.choose(now, service, nil)
 	if s == nil {
+		if t.view.Incomplete {
+			return Verdict{Reason: NoServer} // The copies of the SYN may find one.
+		}
 		return Verdict{Action: Refuse, Reason: NoServer}
 	}
 	if len(t.flows) < t.set.MaxFlows && len(raw) <= maxOpening {
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -95,6 +95,10 @@
 	v := testView()
 	table.SetView(0, v)
 	is.Equal(table.testSyn(0, 2, 0), Verdict{Action: Refuse, Reason: NoServer})
+	v = testView()
+	v.Incomplete = true
+	table.SetView(0, v)
+	is.Equal(table.testSyn(0, 2, 0), Verdict{Reason: NoServer})
 }
 
 func TestMarkOfAnotherServiceIsDropped(t *testing.T) {
