--- a/.ci/byhand.sh
+++ b/.ci/byhand.sh
@@ -63,6 +63,10 @@
 expect 1 "$ramp" config republish --host $host
 shows "is not behind"
 expect 0 "$ramp" version
+expect 0 "$bench" oracle docs/oracle/hcmfa-entries-quiet-1.json
+shows "hcmfa-entries quiet-1 *worth 0.9"
+expect 2 "$bench" oracle docs/examples/entry.json
+shows "unknown field"
 # Not in a pipe: grep -q ends it early, and curl then fails by a broken pipe.
 expect 0 curl -fs "http://$host/metrics"
 shows lagoonramp_requests_total
--- a/cmd/rampbench/main.go
+++ b/cmd/rampbench/main.go
@@ -24,7 +24,7 @@
 		Name:  "rampbench",
 		Usage: "stand-ins, load and experiments for lagoonramp",
 		Commands: []*cli.Command{
-			platformCommand(), fabricCommand(), serverCommand(), loadCommand(), experimentCommand(), capacityCommand(), soakCommand(),
+			platformCommand(), fabricCommand(), serverCommand(), loadCommand(), experimentCommand(), capacityCommand(), soakCommand(), oracleCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
