--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -46,11 +46,11 @@
 	{"store answers nonsense", func(w *world, d time.Duration) { w.failStore(stub.Nonsense, d) }, false},
 	{"entries lapse", (*world).lapse, false},
 	{"store slow", func(w *world, d time.Duration) {
-		w.store.Slow(200 * time.Millisecond)
+		w.Store.Slow(200 * time.Millisecond)
 		time.Sleep(d)
-		w.store.Slow(0)
+		w.Store.Slow(0)
 	}, false},
-	{"history lost", func(w *world, _ time.Duration) { w.store.DiscardHistory() }, false},
+	{"history lost", func(w *world, _ time.Duration) { w.Store.DiscardHistory() }, false},
 	{"a host's way to the store", (*world).harmProxy, false},
 	{"connections reset", func(w *world, _ time.Duration) {
 		for _, h := range w.hosts {
@@ -67,7 +67,7 @@
 		s.Slow(1)
 	}, true},
 	{"change the document", func(w *world, _ time.Duration) { w.configure(!w.hasIdle()) }, true},
-	{"foreign entry", func(w *world, _ time.Duration) { w.store.Put("servers/i-0bad", []byte(`{"Service":1`)) }, true},
+	{"foreign entry", func(w *world, _ time.Duration) { w.Store.Put("servers/i-0bad", []byte(`{"Service":1`)) }, true},
 }
 
 // inject runs faults by the schedule until the end.
@@ -149,7 +149,7 @@
 	if err := h.start(w); err != nil {
 		w.find("a host does not start: %v", err)
 	}
-	for end := time.Now().Add(10 * time.Second); w.router.Ready() < len(w.hosts); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); w.Router.Ready() < len(w.hosts); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
 			return // The store may be away; the end of the soak checks again.
 		}
@@ -166,30 +166,30 @@
 }
 
 func (w *world) failStore(f stub.Fault, d time.Duration) {
-	w.store.Fail(f)
+	w.Store.Fail(f)
 	time.Sleep(d)
-	w.store.Fail(stub.Healthy)
+	w.Store.Fail(stub.Healthy)
 }
 
 // lapse lets the servers' entries lapse while the store is away.
 func (w *world) lapse(d time.Duration) {
-	w.store.Fail(stub.Busy)
+	w.Store.Fail(stub.Busy)
 	time.Sleep(d)
 	w.mu.Lock()
 	var back []*serverState
 	for _, s := range w.servers {
 		if s.leftAt.IsZero() {
-			w.store.Delete(s.Key())
+			w.Store.Delete(s.Key())
 			back = append(back, s)
 		}
 	}
 	w.mu.Unlock()
-	w.store.Fail(stub.Healthy)
+	w.Store.Fail(stub.Healthy)
 	time.Sleep(lapseBack * time.Duration(w.pick(100)) / 100)
 	for _, s := range back {
 		w.mu.Lock()
 		if w.servers[s.ID] == s && s.leftAt.IsZero() {
-			w.store.Put(s.Key(), s.Entry("ready"))
+			w.Store.Put(s.Key(), s.Entry("ready"))
 		}
 		w.mu.Unlock()
 	}
@@ -211,12 +211,12 @@
 	}
 	old.Drain() // Not under the lock: servers take it while they hold theirs.
 	w.mu.Lock()
-	w.store.Put(old.Key(), old.Entry("draining"))
+	w.Store.Put(old.Key(), old.Entry("draining"))
 	old.leftAt = time.Now()
 	w.mu.Unlock()
 	time.Sleep(drainBound + calmFor)
 	w.end(old)
-	w.store.Delete(old.Key())
+	w.Store.Delete(old.Key())
 }
 
 // end ends a server for good and notes its address.
@@ -249,7 +249,7 @@
 		w.note("the address %s is not free: %v", s.address, err)
 	}
 	time.Sleep(time.Second)
-	w.store.Delete(s.Key())
+	w.Store.Delete(s.Key())
 }
 
 func (w *world) freezeServer(d time.Duration) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -61,7 +61,7 @@
 	w.finish()
 	w.ended.Store(true)
 	group.Wait()
-	if misdirected, forged := w.ledger.Counts(); forged > 0 {
+	if misdirected, forged := w.Ledger.Counts(); forged > 0 {
 		w.find("servers got %d packets that their senders did not write so (%d were for others)", forged, misdirected)
 	}
 	out := &Report{Seed: set.Seed, Requests: w.requests.Load(), Results: map[string]int{}, Findings: w.findings, Logs: w.dir}
@@ -73,7 +73,7 @@
 
 func (w *world) waitReady() bool {
 	for end := time.Now().Add(settle); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if w.router.Ready() == len(w.hosts) {
+		if w.Router.Ready() == len(w.hosts) {
 			return true
 		}
 	}
@@ -105,9 +105,9 @@
 
 func (w *world) requestWith(route netip.AddrPort, id string, size int, work time.Duration) stub.Outcome {
 	began := time.Now()
-	o := w.caller.Do(route, id, size, work, deadline)
+	o := w.Caller.Do(route, id, size, work, deadline)
 	w.requests.Add(1)
-	ran := w.ledger.Ran(id)
+	ran := w.Ledger.Ran(id)
 	w.mu.Lock()
 	w.counts[o.Result]++
 	lost := w.lostServer.After(began.Add(-time.Second))
@@ -220,7 +220,7 @@
 // finish checks that everything recovers by itself.
 func (w *world) finish() {
 	if !w.waitReady() {
-		w.find("%d of %d hosts are ready %v after the last fault", w.router.Ready(), len(w.hosts), settle)
+		w.find("%d of %d hosts are ready %v after the last fault", w.Router.Ready(), len(w.hosts), settle)
 	}
 	time.Sleep(calmFor)
 	for i := range finalRequests {
