--- a/cmd/lagoonramp/demo.go
+++ b/cmd/lagoonramp/demo.go
@@ -19,6 +19,7 @@
 		Usage: "run the whole system in one process on loopback and count what its callers see",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "how long load is made"},
+			&cli.BoolFlag{Name: "marked", Usage: "run the path of the users' platform: packets with marks, servers that answer directly"},
 			&cli.BoolFlag{Name: "json", Usage: "print the report as one JSON object"},
 		},
 		Action: runDemo,
@@ -32,7 +33,11 @@
 	if d < minDemo {
 		return cli.Exit(fmt.Sprintf("--duration must be at least %v, not %v", minDemo, d), exitUsage)
 	}
-	r, err := demo.Run(ctx, demo.Settings{Duration: d, Progress: os.Stderr})
+	run := demo.Run
+	if c.Bool("marked") {
+		run = demo.RunMarked
+	}
+	r, err := run(ctx, demo.Settings{Duration: d, Progress: os.Stderr})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -65,11 +65,11 @@
 	w := newWorld(t)
 	var late atomic.Int64
 	var closed atomic.Pointer[stub.Server]
-	w.Ledger.OnOpening = func(s *stub.Server, _ string, _ time.Time) {
+	w.Ledger.Watch(func(s *stub.Server, _ time.Time) {
 		if s == closed.Load() {
 			late.Add(1)
 		}
-	}
+	})
 	w.start(3, 3)
 	leaving := w.servers[0]
 	stop := make(chan struct{})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -132,7 +132,7 @@
 
 // opened checks that a server that leaves gets no new flows. The ledger calls
 // it for each SYN that a server takes.
-func (w *world) opened(s *stub.Server, _ string, at time.Time) {
+func (w *world) opened(s *stub.Server, at time.Time) {
 	w.mu.Lock()
 	state := w.servers[s.ID]
 	late := state != nil && state.Server == s && !state.leftAt.IsZero() && at.Sub(state.leftAt) > drainBound && w.calm()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -110,7 +110,7 @@
 	if w.World, err = stub.StartWorld(byte(20 + set.Seed%200)); err != nil {
 		return nil, err
 	}
-	w.Ledger.OnOpening = w.opened
+	w.Ledger.Watch(w.opened)
 	w.configure(false)
 	for i := range set.Servers {
 		service := "entry-desk"
