Hosts wait for copies while another one has just become ready

Routers hand flows to the new host; the one that had the SYN took that for a silent server and sent the SYN to a second one, whose answer changed the caller's mark; the new host followed the mark.

Ruled out: the stand-in's server (two marks), pins that come late (the new host is not known yet when the mark changes).

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -178,6 +178,9 @@
 	p.watchers.Heard(now, from.id, d.Served)
 	if d.DataCentre == p.host.set.DataCentre {
 		p.queue.Heard(now, from.id, d.Report)
+		if d.ReadyFor > 0 && d.ReadyFor < joinFor {
+			p.host.traffic.unsettledEnd.Store(int64(now + joinFor - d.ReadyFor))
+		}
 	}
 	origin := p.originOf(d.Round)
 	if origin != 0 {
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -16,6 +16,7 @@
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/pkg/spread"
 	"lagoonramp.org/lagoonramp/pkg/steer"
+	"lagoonramp.org/lagoonramp/pkg/turns"
 )
 
 // newTestPeers returns the peers of a host in data centre a that knows n hosts
@@ -175,6 +176,29 @@
 	}
 }
 
+// TestHostThatBecomesReadyUnsettlesItsDataCentre checks that hosts expect the
+// routers to move flows when another one comes.
+func TestHostThatBecomesReadyUnsettlesItsDataCentre(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		centre string
+		report turns.Report
+		want   time.Duration
+	}{
+		{"just ready", "a", turns.Report{ReadyFor: 10 * time.Millisecond}, time.Minute + joinFor - 10*time.Millisecond},
+		{"not ready yet", "a", turns.Report{}, 0},
+		{"ready for long", "a", turns.Report{ReadyFor: joinFor}, 0},
+		{"elsewhere", "b", turns.Report{ReadyFor: 10 * time.Millisecond}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p, c := newTestPeers(t, 0)
+			p.heard(time.Minute, &digest{From: "h1", DataCentre: tt.centre, Address: "127.0.9.1:9", Report: tt.report}, c)
+			is.Equal(time.Duration(p.host.traffic.unsettledEnd.Load()), tt.want)
+		})
+	}
+}
+
 // TestForgedDigestsAreBounded checks that digests of strangers neither make a
 // view look fresh for ever nor pile up.
 func TestForgedDigestsAreBounded(t *testing.T) {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -52,9 +52,11 @@
 	// maxHold is how long packets wait for the first view.
 	maxHold = time.Second
 	// settleFor is how long after its start a host takes silence for flows that
-	// routers have moved: they need up to half a second to see that a host is
-	// ready, and hosts that lost power together return within a second.
+	// routers have moved, and joinFor the same after another host of its data
+	// centre has become ready: routers need up to half a second to see that, and
+	// hosts that lost power together return within a second.
 	settleFor = 1500 * time.Millisecond
+	joinFor   = 800 * time.Millisecond
 	// freshness is how old the view may be for a refusal of an unknown route.
 	freshness = 3 * time.Second
 )
@@ -78,6 +80,8 @@
 	current *published
 	// leaving tells that the routers are about to turn away.
 	leaving atomic.Bool
+	// unsettledEnd is up to when routers may hand flows to a host that has come.
+	unsettledEnd atomic.Int64
 	// stale tells that the process was paused while the packets at hand came.
 	// An old SYN is dropped: its caller may have opened the flow by another
 	// host, and a second server would harm it.
@@ -240,6 +244,7 @@
 	if t.leaving.Load() {
 		t.table.Unsettle(math.MaxInt64)
 	}
+	t.table.Unsettle(time.Duration(t.unsettledEnd.Load()))
 	p := t.view.Load()
 	if p == t.current {
 		return
--- a/internal/entry/traffic_test.go
+++ b/internal/entry/traffic_test.go
@@ -35,6 +35,13 @@
 	open(settleFor, 2)
 	_, resent = host.table.Due(settleFor + time.Second)
 	is.True(resent)
+
+	const joined = 10 * time.Second
+	host.unsettledEnd.Store(int64(joined + joinFor))
+	host.refresh(joined)
+	open(joined, 3)
+	_, resent = host.table.Due(joined + joinFor - 1)
+	is.True(!resent)
 }
 
 // twoServers returns a view with a route to a service with two servers.
