A copy that sends a SYN to another server is logged and counted

Cause: while hosts come or go a SYN goes on only when its copy comes, and that way left no line: a request with tries above 1 had no server named as silent. The verdict names it now; line and counter are those of a SYN that goes on by time. Decides nothing.

--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -94,12 +94,10 @@
 	}
 }
 
-func (l *decisionLog) resent(now time.Duration, r *steer.Resend, by *published) {
-	if r.Silent == nil {
-		return // The SYN was held, which is counted.
-	}
+// resent notes that a flow's SYN goes to another server.
+func (l *decisionLog) resent(now time.Duration, k steer.Key, silent, s *fleet.Server, by *published) {
 	if e := l.unusual.Check(zap.WarnLevel, "traffic: server silent, SYN sent to another"); e != nil {
-		e.Write(append(flowFields(now, r.Key, by), serverField("silent", r.Silent), serverField("server", r.Server))...)
+		e.Write(append(flowFields(now, k, by), serverField("silent", silent), serverField("server", s))...)
 	}
 }
 
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -330,6 +330,10 @@
 
 // note counts and logs what a forwarded packet told of its flow.
 func (t *traffic) note(now time.Duration, p *steer.Packet, v *steer.Verdict, raw []byte) {
+	if v.Silent != nil {
+		t.counters.Resent.Add(1)
+		t.log.resent(now, p.Key, v.Silent, v.Server, t.current)
+	}
 	if v.Handshake > 0 {
 		t.handshakes.Update(v.Handshake.Seconds())
 	}
@@ -397,7 +401,9 @@
 		t.forward(t.resent, r.Server)
 		t.writer.Flush()
 		t.counters.Resent.Add(1)
-		t.log.resent(now, &r, t.current)
+		if r.Silent != nil { // A SYN that was held is counted only.
+			t.log.resent(now, r.Key, r.Silent, r.Server, t.current)
+		}
 	}
 }
 
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -78,6 +78,9 @@
 	// Server is where the packet goes; nil unless Action is Forward.
 	Server *fleet.Server
 	Reason Reason
+	// Silent is the server that did not answer the SYN, if a copy of it goes to
+	// another one.
+	Silent *fleet.Server
 	// Handshake is how long the flow took to open, if the packet opened it at
 	// the first server that got its SYN.
 	Handshake time.Duration
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -190,7 +190,7 @@
 		silent := s == nil || now-f.sentAt >= t.centre(s.DataCentre).wait()
 		if silent && f.tries < t.set.Tries {
 			if next := t.sendOn(now, f); next != nil {
-				return Verdict{Action: Forward, Server: next}
+				return Verdict{Action: Forward, Server: next, Silent: s}
 			}
 		}
 	}
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -380,6 +380,7 @@
 		v := table.testSyn(200*ms, 1, 1)
 		is.Equal(v.Action, Forward)
 		is.True(v.Server != first)
+		is.Equal(v.Silent, first) // Operators see why.
 	})
 	t.Run("until the hosts are settled", func(t *testing.T) {
 		is := is.New(t)
