A model of marks while a host joins; pins are told before flows move

It found: a flow that opened at the first host with its SYN at two servers may move before a mark shows that both answered, and the new host then follows the wrong mark (mutation LATEPIN).

The assumption (a SYN sent on less than a handshake before the move is decided by then) stands in the model and in docs/MODELS.md. TestPinsAreToldBeforeFlowsMove failed first.

--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -77,6 +77,10 @@
 // took, if the server was the only one that got the SYN.
 func (t *Table) open(now time.Duration, f *flow, s *fleet.Server) time.Duration {
 	f.pinned = s.Mark
+	if f.tries > 1 && now < t.unsettledEnd {
+		// The flow may move before a mark shows that two servers answered.
+		t.tellPin(f)
+	}
 	t.reached(now, s)
 	t.setBusy(f, s.Mark)
 	took := now - f.sentAt
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -391,6 +391,29 @@
 	})
 }
 
+// TestPinsAreToldBeforeFlowsMove checks that other hosts are told of a flow
+// that two servers may answer as soon as it opens, if routers may move it.
+func TestPinsAreToldBeforeFlowsMove(t *testing.T) {
+	for _, unsettled := range []bool{false, true} {
+		t.Run(fmt.Sprint("unsettled ", unsettled), func(t *testing.T) {
+			is := is.New(t)
+			table := newTestTable(1, "a", "b", "c")
+			table.testSyn(0, 1, 0)
+			second := table.resendAll(firstWait)
+			is.Equal(len(second), 1)
+			if unsettled {
+				table.Unsettle(time.Second)
+			}
+			table.testData(firstWait+5*ms, 1, second[0], 7, 10)
+			want := 0
+			if unsettled {
+				want = 1
+			}
+			is.Equal(len(table.TakePins()), want)
+		})
+	}
+}
+
 // TestTimeAloneTriesOneOtherServer checks that a SYN goes to two servers at
 // most until its caller sends it again: the servers that a host takes for
 // silent would all answer a flow that has moved to another host.
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -47,4 +47,8 @@
 expect good refuse
 expect bad refuse FIRST
 expect bad refuse LATE
+expect good mark
+expect bad mark UNSETTLED
+expect bad mark LATEPIN
+expect bad mark NOPIN
 exit "$failed"
