--- a/pkg/steer/doc.go
+++ b/pkg/steer/doc.go
@@ -8,9 +8,11 @@
 // a flow at one server whose SYN went to two.
 //
 // A SYN that is not acknowledged by the caller within the time that handshakes
-// take goes to a second server. If both answer, the caller's packets may carry
-// the mark of either: the first packet after the SYN carries the mark of the
-// server whose answer the caller took first, and the Table keeps the flow there.
+// take goes to a second server, unless routers may have moved the flow: then only
+// a copy of the SYN sends it on. If both servers answer, the caller's packets may
+// carry the mark of either: the first packet after the SYN carries the mark of
+// the server whose answer the caller took first, and the Table keeps the flow
+// there.
 //
 // While a service's servers answer too late for their routes' objectives, the
 // Table limits the flows that it sends them: SYNs wait in a lane, the newest goes
