--- a/internal/dgram/plane_test.go
+++ b/internal/dgram/plane_test.go
@@ -69,6 +69,13 @@
 	if err := p.SetTables(tables); err != nil {
 		t.Fatal(err)
 	}
+	run(t, p)
+	return p, addressOf(in), fabric, tables
+}
+
+// run runs a plane until the test ends.
+func run(t testing.TB, p *Plane) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -76,7 +83,6 @@
 		close(done)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return p, addressOf(in), fabric, tables
 }
 
 // ask sends a datagram as the fabric would and returns the answer, "" if none
@@ -264,13 +270,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			p.Run(ctx)
-			close(done)
-		}()
-		t.Cleanup(func() { cancel(); <-done })
+		run(t, p)
 		planes = append(planes, p)
 	}
 	return address, planes[1]
--- a/pkg/conf/commit_test.go
+++ b/pkg/conf/commit_test.go
@@ -106,19 +106,29 @@
 	}
 }
 
-func TestPlatformBackInTimeChangesNothing(t *testing.T) {
+// twoEdits commits two edits of a section. Restore puts the platform back to
+// the first of them, and last is the second one.
+func twoEdits(t *testing.T) (p *fakes.Platform, kv *store.Client, c *conf.Committer, last conf.Commit, restore func()) {
+	t.Helper()
 	is := is.New(t)
 	ctx := context.Background()
-	p, kv := newStore(t)
-	c := &conf.Committer{KV: kv}
+	p, kv = newStore(t)
+	c = &conf.Committer{KV: kv}
 	_, err := c.Put(ctx, edit("desk", "a", 0, section(80, conf.Active)))
 	is.NoErr(err)
-	restore := p.Snapshot()
-	last, err := c.Put(ctx, edit("desk", "b", 1, section(80, conf.Draining)))
+	restore = p.Snapshot()
+	last, err = c.Put(ctx, edit("desk", "b", 1, section(80, conf.Draining)))
 	is.NoErr(err)
+	return p, kv, c, last, restore
+}
+
+func TestPlatformBackInTimeChangesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, kv, c, last, restore := twoEdits(t)
 	restore()
 	c.Seen = last.Revision
-	_, err = c.Put(ctx, edit("desk", "c", 1, section(80, conf.Leaving)))
+	_, err := c.Put(ctx, edit("desk", "c", 1, section(80, conf.Leaving)))
 	var behind *conf.BehindError
 	is.True(errors.As(err, &behind))
 	h, _, err := conf.ReadHead(ctx, kv)
@@ -129,13 +139,7 @@
 func TestRepublishAfterThePlatformWentBack(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	p, kv := newStore(t)
-	c := &conf.Committer{KV: kv}
-	_, err := c.Put(ctx, edit("desk", "a", 0, section(80, conf.Active)))
-	is.NoErr(err)
-	restore := p.Snapshot()
-	_, err = c.Put(ctx, edit("desk", "b", 1, section(80, conf.Draining)))
-	is.NoErr(err)
+	p, kv, c, _, restore := twoEdits(t)
 	head, _, err := conf.ReadHead(ctx, kv)
 	is.NoErr(err)
 	body := conf.Encode(section(80, conf.Draining))
