Reset open flows whose servers are unreachable

A host never reset an open flow. Change: pkg/steer/unreachable.go decides, from data sent again, answers that are overdue, SYNs without an answer and entries that left the store, which servers to probe with TCP connections. If two attempts fail and the server has answered nothing since, flows of idempotent routes are reset and their callers open new ones. Three such servers of a data centre in which nothing answers mark the whole data centre. Hosts keep state on flows that were opened through others (adopted), and a limit takes account of later requests on long flows. The document's kind of a route says which requests are idempotent. Ruled out: resets on silence alone (one lost packet in two would reset a sound flow); evidence shared in digests (a probe is decisive and needs none). TestOpenFlowsSurviveLossOfDataCentre replays the load and fails without probes. Test changed: TestFlowStaysAtServerThatOpenedIt counted flows to see whether a pin was announced; it counts pins now, since flows are adopted.

--- a/internal/marked/log.go
+++ b/internal/marked/log.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// flowReset logs that an open flow is reset because its server is unreachable.
+func (l *decisionLog) flowReset(now time.Duration, r steer.Reset, published *publishedView) {
+	if e := l.unusual.Check(zap.WarnLevel, "traffic: server unreachable, open flow reset"); e != nil {
+		e.Write(append(flowFields(now, r.Key, published), serverField("server", r.Server))...)
+	}
+}
+
+// probeEnded logs the result of a probe of a server.
+func (l *decisionLog) probeEnded(r probeReport, published *publishedView) {
+	if e := l.unusual.Check(zap.InfoLevel, "traffic: server probed"); e != nil {
+		e.Write(serverField("server", r.probe.Server), zap.Stringer("result", r.result), zap.Duration("startedAt", r.probe.StartedAt),
+			zap.Uint64("revision", published.view.StoreRevision))
+	}
+}
+
 // synResent logs that the SYN of a flow is sent to another server.
 func (l *decisionLog) synResent(now time.Duration, k steer.Key, unresponsive, s *fleet.Server, published *publishedView) {
 	if e := l.unusual.Check(zap.WarnLevel, "traffic: server silent, SYN sent to another"); e != nil {
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -30,8 +30,9 @@
 	SetFrame(frame []byte, token uint64)
 	// RequestID returns the ID of the request that starts in a packet, or "".
 	RequestID(raw []byte) string
-	// AppendReset appends a packet that resets the flow k of a caller.
-	AppendReset(b []byte, k steer.Key) []byte
+	// AppendReset appends a packet that resets the flow k of a caller. If the
+	// flow is open, sequence is the caller's latest acknowledgement number.
+	AppendReset(b []byte, k steer.Key, sequence uint32) []byte
 	// MaxPacket returns the maximum length of a packet, and FrameLength the
 	// length of a frame, in bytes.
 	MaxPacket() int
@@ -66,7 +67,10 @@
 // handled since the start. Flows is the current number of flows.
 type Counters struct {
 	Received, Forwarded, Malformed, Resent, Refused, Unsent, Held, Stale, Flows atomic.Uint64
-	Dropped                                                                     [maxReasons]atomic.Uint64
+	// Reset counts the open flows that were reset, and Probes the probes of
+	// servers.
+	Reset, Probes atomic.Uint64
+	Dropped       [maxReasons]atomic.Uint64
 }
 
 // traffic forwards packets. Its fields belong to the traffic loop, except those
@@ -109,6 +113,10 @@
 	receivedMu       sync.Mutex
 	receivedPins     []steer.Pin
 	allPinsRequested atomic.Bool
+	// probeReports holds the results of probes until the loop records them. It
+	// is guarded by receivedMu. pendingProbes counts the probes that run.
+	probeReports  []probeReport
+	pendingProbes atomic.Int32
 	// nextPinAnnounce is the earliest time at which all pins may be announced
 	// again.
 	nextPinAnnounce time.Duration
@@ -232,6 +240,8 @@
 		t.handlePacket(now, t.reader.Datagram(i))
 	}
 	t.writer.Flush()
+	t.resetUnreachable(now)
+	t.startProbes()
 	if pins := t.table.TakePins(); len(pins) > 0 {
 		t.announcePins(pins)
 	}
@@ -259,6 +269,7 @@
 		t.table.ExpectRerouting(math.MaxInt64)
 	}
 	t.table.ExpectRerouting(time.Duration(t.reroutingEnd.Load()))
+	defer t.recordProbes(now)
 	p := t.published.Load()
 	if p == t.current {
 		return
@@ -309,6 +320,8 @@
 		t.forward(framed, v.Server)
 	case steer.Refuse:
 		t.refuseFlow(now, &p, v.Reason)
+	case steer.ResetFlow:
+		t.resetFlow(now, steer.Reset{Key: p.Key, Sequence: p.Ack, Server: v.Server})
 	case steer.Hold:
 		t.counters.Held.Add(1)
 	case steer.Drop:
@@ -355,13 +368,18 @@
 	}
 	t.counters.Refused.Add(1)
 	t.log.flowRefused(now, p, reason, t.current)
+	t.sendReset(p.Key, 0)
+}
+
+// sendReset queues a reset of a flow for the next flush of the writer.
+func (t *traffic) sendReset(k steer.Key, sequence uint32) {
 	start := len(t.resetBuf)
 	if cap(t.resetBuf)-start < t.codec.MaxPacket() {
 		t.resetBuf = make([]byte, 0, batch.Size*t.codec.MaxPacket())
 		start = 0
 	}
-	t.resetBuf = t.codec.AppendReset(t.resetBuf, p.Key)
-	to := netip.AddrPortFrom(p.Key.Caller.Addr(), uint16(t.conn.LocalAddr().(*net.UDPAddr).Port))
+	t.resetBuf = t.codec.AppendReset(t.resetBuf, k, sequence)
+	to := netip.AddrPortFrom(k.Caller.Addr(), uint16(t.conn.LocalAddr().(*net.UDPAddr).Port))
 	t.writer.Add(t.resetBuf[start:], to)
 }
 
@@ -377,6 +395,10 @@
 	}
 	now := t.readClock()
 	t.updateTable(now)
+	defer func() {
+		t.resetUnreachable(now)
+		t.startProbes()
+	}()
 	frameLength := t.codec.FrameLength()
 	for {
 		r, ok := t.table.NextResend(now)
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -185,6 +185,8 @@
 		}
 		s := *r.server
 		s.Mark = m
+		s.Departed = !r.inStore
+		s.Replaced = b.isReplaced(id, addresses)
 		v.ServersByMark[m] = &s
 		if b.isUsable(now, r) && addresses[s.Address] == id {
 			v.Usable[s.Service] = append(v.Usable[s.Service], &s)
@@ -192,6 +194,15 @@
 	}
 }
 
+// isReplaced reports whether another server, which is in the store, has
+// registered the address of a server that is no longer in the store. An address
+// is registered again only after the process that had it has ended.
+func (b *Builder) isReplaced(id string, addresses map[netip.AddrPort]string) bool {
+	r := b.servers[id]
+	owner := addresses[r.server.Address]
+	return !r.inStore && owner != id && b.servers[owner].inStore
+}
+
 // addressOwners returns the ID of the server that owns each address. Servers in
 // the store take precedence over removed ones, then those that started later.
 func (b *Builder) addressOwners() map[netip.AddrPort]string {
@@ -256,7 +267,7 @@
 // addRoutes adds the routes to the view, and deletes expired former services.
 func (b *Builder) addRoutes(now time.Duration, v *View) {
 	for a, r := range b.routes {
-		state := &RouteState{Targets: r.Targets, Objective: r.Objective, Timeout: r.Timeout}
+		state := &RouteState{Targets: r.Targets, Objective: r.Objective, Timeout: r.Timeout, Idempotent: r.Idempotent}
 		for service, until := range r.serviceUntil {
 			if isTarget(r.Targets, service) {
 				continue
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -51,6 +51,10 @@
 	Mark uint32 `json:"-"`
 	// WarmupEnd is the end of the warm-up, by this host's clock.
 	WarmupEnd time.Duration `json:"-"`
+	// Departed reports whether the store no longer has the server's entry, and
+	// Replaced whether another server has registered its address since, so that
+	// its process has ended.
+	Departed, Replaced bool `json:"-"`
 }
 
 // Target is a service to which a route sends a fraction of its flows.
@@ -70,6 +74,9 @@
 	// Timeout the time after which its caller gives up. Either is 0 if the
 	// operators have not set it.
 	Objective, Timeout time.Duration
+	// Idempotent reports whether callers may repeat a request whose outcome they
+	// do not know.
+	Idempotent bool
 }
 
 // Document is a version of the operators' configuration.
@@ -87,8 +94,9 @@
 	// FormerServices lists the services, sorted by name, that were targets
 	// within the last flow lifetime and no longer are.
 	FormerServices []string
-	// Objective and Timeout are those of the Route.
+	// Objective, Timeout and Idempotent are those of the Route.
 	Objective, Timeout time.Duration
+	Idempotent         bool
 }
 
 // AllowsService reports whether an open flow of the route may belong to service,
--- a/pkg/steer/choose.go
+++ b/pkg/steer/choose.go
@@ -99,8 +99,8 @@
 // server. The server with the least cost is chosen.
 func (t *Table) cost(now time.Duration, s *fleet.Server, f *flow) float64 {
 	health := t.health[s.Mark]
-	if health.isSuspect() {
-		if now < health.retryAt || f != nil {
+	if unreachable := t.isUnreachable(now, s); unreachable || health.isSuspect() {
+		if now < health.retryAt || f != nil || unreachable && !health.isSuspect() {
 			return suspectCost + float64(health.lastUnansweredAt)/float64(time.Second)
 		}
 		return probeCost
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -38,7 +38,21 @@
 	requestPending bool
 	requestedAt    time.Duration
 	requestAck     uint32
-	ended          bool
+	// answering reports whether an answer has begun since the latest request,
+	// and answered whether any answer has begun.
+	answering, answered bool
+	// lastAck is the acknowledgement number of the latest packet, and packetMark
+	// its mark. Both are valid if packetSeen is true.
+	lastAck, packetMark uint32
+	packetSeen          bool
+	// dataEnd is the end of the data received so far, and dataAt when data last
+	// extended it; 0 if there was none.
+	dataEnd uint32
+	dataAt  time.Duration
+	// adopted reports whether the flow was opened through another host, or
+	// before this host deleted its state.
+	adopted bool
+	ended   bool
 	// pinAnnounced reports whether the pin has been announced to other hosts.
 	pinAnnounced bool
 	// generation changes when the record is reused, which invalidates timers
@@ -64,6 +78,19 @@
 	return f
 }
 
+// serverMark returns the mark of the server to which the packets of the flow go,
+// or 0 before the first of them.
+func (f *flow) serverMark() uint32 {
+	if f.pinnedMark != 0 {
+		return f.pinnedMark
+	}
+	return f.packetMark
+}
+
+// needsServer reports whether the caller waits for an answer or may still be
+// receiving one.
+func (f *flow) needsServer() bool { return !f.ended && (f.requestPending || f.answering) }
+
 // recordSYN counts a SYN of the flow. While every retransmission arrives at
 // this host, no other host can have sent the SYN to a server, and the flow may
 // be refused.
--- a/pkg/steer/health.go
+++ b/pkg/steer/health.go
@@ -27,8 +27,9 @@
 	// when the server last answered.
 	lastUnansweredAt, lastAnswerAt time.Duration
 	// retryAt is when the backoff of a suspect server ends.
-	retryAt  time.Duration
-	slowness slowness
+	retryAt      time.Duration
+	slowness     slowness
+	reachability reachability
 }
 
 // newHealth returns the initial health of a server. If the server restarted,
@@ -46,6 +47,7 @@
 func (h *Health) recordAnswer(now time.Duration) {
 	h.lastAnswerAt = now
 	h.unansweredSYNs = 0
+	h.reachability.recordReachable()
 }
 
 // recordUnanswered records that a SYN sent at sentAt was not answered. It is
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -140,7 +140,18 @@
 // this host may never see the acknowledgement of its answer.
 func (t *Table) startAnswerTimer(now time.Duration, f *flow) {
 	if route := t.view.Routes[f.key.Service]; route != nil && route.Objective > 0 {
-		end := now + time.Duration(answerTimeoutRatio*float64(route.Objective))
-		t.timers.push(timer{expiresAt: end, flow: f, generation: f.generation, kind: answerTimer})
+		t.timers.push(timer{expiresAt: now + answerTimeout(route), flow: f, generation: f.generation, kind: answerTimer})
 	}
 }
+
+// answerTimeout returns the time after which an answer on a route is overdue.
+func answerTimeout(route *fleet.RouteState) time.Duration {
+	return time.Duration(answerTimeoutRatio * float64(route.Objective))
+}
+
+// isOverdue reports whether the answer to the pending request of a flow is
+// overdue. It is false if the timer was set for an earlier request.
+func (t *Table) isOverdue(now time.Duration, f *flow) bool {
+	route := t.view.Routes[f.key.Service]
+	return route == nil || now-f.requestedAt >= answerTimeout(route)
+}
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -14,12 +14,35 @@
 		return Verdict{Reason: UnknownMark}
 	}
 	v := Verdict{Action: Forward, Server: s}
-	if f != nil {
-		t.observe(now, f, p, &v)
+	if f == nil && p.Length > 0 {
+		f = t.adoptFlow(p, s)
+	}
+	if f == nil {
+		return v
+	}
+	t.observe(now, f, p, &v)
+	if p.Length > 0 && !f.ended && t.canReset(now, p.Key, s) {
+		t.recordReset(f)
+		t.requestProbe(now, s)
+		return Verdict{Action: ResetFlow, Server: s, Reason: Unreachable}
 	}
 	return v
 }
 
+// adoptFlow adds the state of an open flow whose SYN this host has not seen, or
+// returns nil if the table is full. The flow is not pinned: which server it
+// opened at is known only by its marks.
+func (t *Table) adoptFlow(p *Packet, s *fleet.Server) *flow {
+	if len(t.flows) >= t.settings.MaxFlows {
+		return nil
+	}
+	f := t.newFlow(p, s.Service, nil)
+	f.triedMarks[0], f.tries = s.Mark, 1
+	f.adopted = true
+	f.synsSeen = -1
+	return f
+}
+
 // serverFor returns the server of a packet after the SYN, or nil if there is
 // none. A flow that this host saw open, or whose pin it received, stays at its
 // server: if a packet carries another mark, the SYN or a retransmission reached
@@ -52,11 +75,15 @@
 func (t *Table) observe(now time.Duration, f *flow, p *Packet, v *Verdict) {
 	f.lastPacketAt = now
 	v.Tries = f.tries
-	if f.pinnedMark == 0 && f.tries > 0 {
+	if f.service == "" {
+		f.service = v.Server.Service // The flow is known by its pin only.
+	}
+	if f.pinnedMark == 0 && f.tries > 0 && !f.adopted {
 		v.HandshakeTime = t.recordOpen(now, f, v.Server)
 	}
+	t.observeProgress(now, f, p, v.Server)
 	if p.Length > 0 && !f.requestPending {
-		f.requestPending = true
+		f.requestPending, f.answering = true, false
 		f.requestedAt = now
 		f.requestAck = p.Ack
 		v.RequestStarted = true
@@ -64,9 +91,10 @@
 		t.startAnswerTimer(now, f)
 	}
 	if f.requestPending && int32(p.Ack-f.requestAck) > 0 {
-		f.requestPending = false
+		f.requestPending, f.answering = false, true
 		v.AnswerTime = now - f.requestedAt
 		t.recordAnswer(now, f, v)
+		f.answered = true
 	}
 	if p.FIN || p.Reset {
 		f.ended = true
@@ -74,6 +102,32 @@
 	}
 }
 
+// observeProgress updates the reachability of a server from a packet: an
+// acknowledgement of further data shows that the server sent it, and data that
+// the caller retransmits was not acknowledged in time.
+func (t *Table) observeProgress(now time.Duration, f *flow, p *Packet, s *fleet.Server) {
+	if f.packetSeen && int32(p.Ack-f.lastAck) > 0 {
+		t.recordReachable(now, s)
+	}
+	if !f.packetSeen || int32(p.Ack-f.lastAck) > 0 {
+		f.lastAck = p.Ack
+	}
+	f.packetSeen, f.packetMark = true, s.Mark
+	if p.Length == 0 {
+		return
+	}
+	if end := p.Sequence + uint32(p.Length); f.dataAt == 0 || int32(end-f.dataEnd) > 0 {
+		f.dataEnd, f.dataAt = end, now
+		if s.Departed {
+			t.requestProbe(now, s)
+		}
+		return
+	}
+	if now-f.dataAt >= minSilence {
+		t.recordSilence(now, f.dataAt, s)
+	}
+}
+
 // recordOpen records that a flow opened at a server. It returns the duration of
 // the handshake if the SYN was sent to this server only, and 0 otherwise.
 func (t *Table) recordOpen(now time.Duration, f *flow, s *fleet.Server) time.Duration {
@@ -111,7 +165,11 @@
 	if route := t.view.Routes[f.key.Service]; route != nil && route.Objective > 0 {
 		l := t.limiter(f.service)
 		limited := l.limit > 0
-		l.recordAnswer(now, f.sentAt, v.AnswerTime.Seconds()/route.Objective.Seconds())
+		startedAt := f.sentAt
+		if f.answered || f.adopted {
+			startedAt = f.requestedAt
+		}
+		l.recordAnswer(now, startedAt, v.AnswerTime.Seconds()/route.Objective.Seconds())
 		if limited != (l.limit > 0) {
 			t.limitChanges = append(t.limitChanges, LimitChange{Service: f.service, Limit: l.limit, InFlight: l.inFlight, MedianRatio: l.median})
 		}
@@ -123,4 +181,6 @@
 	if h := t.health[s.Mark]; h != nil {
 		h.recordAnswer(now)
 	}
+	c := t.centre(s.DataCentre)
+	c.lastAnswerAt, c.unreachableUntil = now, 0
 }
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -47,6 +47,9 @@
 	Refuse
 	// Hold keeps the packet in the Table, which returns it by NextResend.
 	Hold
+	// ResetFlow sends the caller a reset of its open flow, since
+	// Verdict.Server is unreachable.
+	ResetFlow
 )
 
 // Reason is why a packet is dropped or refused.
@@ -66,10 +69,13 @@
 	Overload
 	// UnknownMark means that no server of the route has the mark of the packet.
 	UnknownMark
+	// Unreachable means that the server of an open flow does not receive
+	// packets.
+	Unreachable
 	reasonCount
 )
 
-var reasonNames = [reasonCount]string{"none", "noView", "noRoute", "noServer", "overload", "unknownMark"}
+var reasonNames = [reasonCount]string{"none", "noView", "noRoute", "noServer", "overload", "unknownMark", "unreachable"}
 
 // String returns the name of the reason.
 func (r Reason) String() string { return reasonNames[r] }
@@ -77,7 +83,8 @@
 // Verdict is the decision of a Table on a packet.
 type Verdict struct {
 	Action Action
-	// Server is the destination of the packet; nil unless Action is Forward.
+	// Server is the destination of the packet; nil unless Action is Forward or
+	// ResetFlow.
 	Server *fleet.Server
 	Reason Reason
 	// Unresponsive is the server that did not answer the SYN, if the packet is
--- a/pkg/steer/pin.go
+++ b/pkg/steer/pin.go
@@ -40,12 +40,18 @@
 }
 
 // AddPin records a pin that another host announced. It ignores the pin if the
-// table has state on the flow or is full.
+// table is full or knows from the SYN where the flow opened.
 func (t *Table) AddPin(now time.Duration, p Pin) {
-	if t.flows[p.Key] != nil || len(t.flows) >= t.settings.MaxFlows {
+	f := t.flows[p.Key]
+	if f != nil && !f.adopted {
 		return
 	}
-	f := t.newFlow(&Packet{Key: p.Key}, "", nil)
+	if f == nil {
+		if len(t.flows) >= t.settings.MaxFlows {
+			return
+		}
+		f = t.newFlow(&Packet{Key: p.Key}, "", nil)
+	}
 	f.triedMarks[0] = p.Mark
 	f.tries = 2 // At least two servers got the SYN, so SplitIdleTimeout applies.
 	f.pinnedMark = p.Mark
--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -49,7 +49,14 @@
 		case holdTimer:
 			r, ok = t.handleHoldTimeout(now, f)
 		case answerTimer:
-			t.setInFlight(f, 0)
+			if t.isOverdue(now, f) {
+				t.setInFlight(f, 0)
+				t.checkOverdue(now, f)
+			}
+		case overdueTimer:
+			if t.isOverdue(now, f) {
+				t.checkOverdue(now, f)
+			}
 		case handshakeTimer:
 			r, ok = t.resendAfterTimeout(now, f)
 		}
@@ -84,11 +91,21 @@
 	return Resend{Key: f.key, Server: s, Unresponsive: t.view.ServersByMark[unresponsive], RawSYN: t.resendBuffer[:n]}, true
 }
 
+// recordUnansweredSYN requests a probe of the server that did not answer the SYN
+// of a flow, if other callers wait for that server on open flows.
+func (t *Table) recordUnansweredSYN(now time.Duration, f *flow) {
+	s := t.view.ServersByMark[f.triedMarks[f.tries-1]]
+	if s != nil && t.hasResettable(s.Mark) {
+		t.recordSilence(now, f.sentAt, s)
+	}
+}
+
 // failOver records that the latest server did not answer the SYN of a flow, and
 // returns the next server for it, or nil if none is left.
 func (t *Table) failOver(now time.Duration, f *flow) *fleet.Server {
 	if h := t.health[f.triedMarks[f.tries-1]]; h != nil {
 		h.recordUnanswered(now, f.sentAt)
+		t.recordUnansweredSYN(now, f)
 	}
 	s := t.chooseServer(now, f.service, f)
 	if s != nil {
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -63,6 +63,12 @@
 	limiters        map[string]*limiter
 	holdingLimiters []*limiter
 	timers          timerHeap
+	// centres holds the reachability of each data centre.
+	centres map[string]*centreReachability
+	// newProbes holds the probes that TakeProbes returns next, and resetFlows
+	// selects the flows that NextReset returns next.
+	newProbes  []Probe
+	resetFlows []resetScope
 	// newPins holds the pins that TakePins returns next.
 	newPins []Pin
 	// limitChanges holds the changes that TakeLimitChanges returns next.
@@ -94,7 +100,7 @@
 	}
 	return &Table{
 		settings: settings, hostCount: 1, limiters: map[string]*limiter{}, flows: map[Key]*flow{}, health: map[uint32]*Health{}, estimators: map[string]*handshakeEstimator{},
-		answerTimes: map[netip.AddrPort]*typicalAnswerTime{},
+		answerTimes: map[netip.AddrPort]*typicalAnswerTime{}, centres: map[string]*centreReachability{},
 	}
 }
 
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -213,7 +213,7 @@
 					informed.AddPin(now, p)
 				}
 				is.Equal(informed.testData(now, 1, m, 7, 10).Server.Mark, opened)
-				is.Equal(len(informed.flows) > 0, otherMarkSeen) // A pin is announced only if the packets carry two marks.
+				is.Equal(len(informed.Pins()) > 0, otherMarkSeen) // A pin is announced only if the packets carry two marks.
 				reset := table.HandlePacket(now, &Packet{Key: key(1), Mark: m, Reset: true}, nil)
 				is.Equal(reset.Server.Mark, m) // A reset goes to the server that caused it.
 				table.flows[key(1)].ended = false
--- a/pkg/steer/timer.go
+++ b/pkg/steer/timer.go
@@ -14,6 +14,8 @@
 	holdTimer
 	// answerTimer expires when the answer to a request should have begun.
 	answerTimer
+	// overdueTimer expires when a request has had no answer for a long time.
+	overdueTimer
 )
 
 // timer is a pending action on a flow.
@@ -36,7 +38,9 @@
 	case holdTimer:
 		return f.tries > 0
 	case answerTimer:
-		return !f.requestPending || f.inFlightMark == 0
+		return !f.requestPending
+	case overdueTimer:
+		return !f.requestPending
 	default:
 		return f.pinnedMark != 0
 	}
--- /dev/null
+++ b/pkg/steer/unreachable.go
@@ -0,0 +1,308 @@
+package steer
+
+import (
+	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+)
+
+// This file decides which servers are unreachable, so that open flows to them
+// are reset.
+//
+// Load pattern: callers keep flows open for many requests, or wait for an
+// answer, when their server crashes or its data centre is cut off. The server
+// sends no reset, so each caller would wait until its deadline. After a reset,
+// the caller of an idempotent route repeats the request on a new flow.
+//
+// Silence is only a reason to probe a server: the packets of one flow may be
+// lost, the host may have been paused, or the server may be slow. A server is
+// unreachable if a probe fails and the server has not answered any packet since
+// the probe began. A data centre is unreachable if that holds for several of its
+// servers and none of the others has answered in the meantime.
+
+const (
+	// minSilence is the least time between the first transmission of data and a
+	// retransmission for the server to count as silent. Data that was queued at
+	// this host arrives together with its retransmission.
+	minSilence = 150 * time.Millisecond
+	// unreachableHold is how long a server stays unreachable after a failed
+	// probe. Flows that are still open continue after that.
+	unreachableHold = 2 * time.Second
+	// initialProbeInterval is the least time between two probes of a server. It
+	// doubles with each failed probe up to maxProbeInterval, which must be less
+	// than unreachableHold.
+	initialProbeInterval = 400 * time.Millisecond
+	maxProbeInterval     = 1600 * time.Millisecond
+	// answeredProbeInterval is the least time between a successful probe of a
+	// server and the next one.
+	answeredProbeInterval = 2 * time.Second
+	// minUnreachableServers is the number of unreachable servers from which on
+	// their data centre counts as unreachable.
+	minUnreachableServers = 3
+)
+
+// Probe is a request to probe whether a server accepts connections.
+type Probe struct {
+	Server *fleet.Server
+	// StartedAt is when the probe was requested.
+	StartedAt time.Duration
+}
+
+// Reset is the reset of an open flow, whose server is unreachable.
+type Reset struct {
+	Key Key
+	// Sequence is the acknowledgement number of the caller's latest packet,
+	// which the caller requires as the sequence number of the reset.
+	Sequence uint32
+	Server   *fleet.Server
+}
+
+// reachability is the state of the probes of a server.
+type reachability struct {
+	// probing is set while a probe is pending, and failedProbes counts the
+	// failed probes since the latest answer.
+	probing      bool
+	failedProbes int
+	nextProbeAt  time.Duration
+	// silentSince is when the first packet was sent that the server did not
+	// answer before the latest failed probe. It is valid if failedProbes is
+	// positive.
+	silentSince time.Duration
+	// unreachableUntil is when the server no longer counts as unreachable, or 0.
+	unreachableUntil time.Duration
+}
+
+// recordReachable records that the server is reachable.
+func (r *reachability) recordReachable() {
+	r.failedProbes, r.unreachableUntil, r.silentSince = 0, 0, 0
+}
+
+// centreReachability is the state of a data centre.
+type centreReachability struct {
+	// lastAnswerAt is when any of its servers last answered.
+	lastAnswerAt time.Duration
+	// unreachableUntil is when the data centre no longer counts as unreachable,
+	// or 0.
+	unreachableUntil time.Duration
+}
+
+// centre returns the state of a data centre.
+func (t *Table) centre(dataCentre string) *centreReachability {
+	c := t.centres[dataCentre]
+	if c == nil {
+		c = &centreReachability{}
+		t.centres[dataCentre] = c
+	}
+	return c
+}
+
+// isUnreachable reports whether a server does not receive packets.
+func (t *Table) isUnreachable(now time.Duration, s *fleet.Server) bool {
+	if s.Replaced {
+		return true
+	}
+	if h := t.health[s.Mark]; h != nil && now < h.reachability.unreachableUntil {
+		return true
+	}
+	c := t.centres[s.DataCentre]
+	return c != nil && now < c.unreachableUntil
+}
+
+// recordSilence requests a probe of a server that has not answered a packet
+// sent at sentAt.
+func (t *Table) recordSilence(now, sentAt time.Duration, s *fleet.Server) {
+	h := t.health[s.Mark]
+	if h == nil || h.lastAnswerAt >= sentAt {
+		return
+	}
+	if h.reachability.silentSince == 0 {
+		h.reachability.silentSince = sentAt
+	}
+	t.requestProbe(now, s)
+}
+
+// requestProbe requests a probe of a server unless one is pending or the latest
+// one was recent.
+func (t *Table) requestProbe(now time.Duration, s *fleet.Server) {
+	h := t.health[s.Mark]
+	if h == nil || h.reachability.probing || now < h.reachability.nextProbeAt {
+		return
+	}
+	h.reachability.probing = true
+	t.newProbes = append(t.newProbes, Probe{Server: s, StartedAt: now})
+}
+
+// TakeProbes returns the probes requested since the last call. The application
+// passes each result to RecordProbe.
+func (t *Table) TakeProbes() []Probe {
+	out := t.newProbes
+	t.newProbes = nil
+	return out
+}
+
+// ProbeResult is the result of a probe.
+type ProbeResult uint8
+
+// The results of probes.
+const (
+	// ProbeInconclusive means that the host was paused during the probe.
+	ProbeInconclusive ProbeResult = iota
+	// ProbeAnswered means that the server accepted a connection.
+	ProbeAnswered
+	// ProbeFailed means that the server accepted none in time.
+	ProbeFailed
+)
+
+var probeResultNames = [...]string{"inconclusive", "answered", "failed"}
+
+// String returns the name of the result.
+func (r ProbeResult) String() string { return probeResultNames[r] }
+
+// RecordProbe records the result of a probe. If the server is now unreachable,
+// NextReset returns its flows.
+func (t *Table) RecordProbe(now time.Duration, p Probe, result ProbeResult) {
+	h := t.health[p.Server.Mark]
+	if h == nil || !h.started.Equal(p.Server.Started) {
+		return
+	}
+	r := &h.reachability
+	r.probing = false
+	switch {
+	case result == ProbeInconclusive:
+		r.nextProbeAt = now + initialProbeInterval
+	case result == ProbeAnswered || h.lastAnswerAt > p.StartedAt:
+		r.recordReachable()
+		r.nextProbeAt = now + answeredProbeInterval
+	default:
+		t.recordUnreachable(now, p, h)
+	}
+}
+
+// recordUnreachable records a failed probe of a server that has not answered
+// since the probe was requested.
+func (t *Table) recordUnreachable(now time.Duration, p Probe, h *Health) {
+	r := &h.reachability
+	if r.silentSince == 0 {
+		r.silentSince = p.StartedAt
+	}
+	r.failedProbes++
+	r.nextProbeAt = now + min(initialProbeInterval<<min(r.failedProbes-1, 10), maxProbeInterval)
+	r.unreachableUntil = now + unreachableHold
+	h.recordUnanswered(now, p.StartedAt)
+	t.resetFlows = append(t.resetFlows, resetScope{mark: p.Server.Mark})
+	if !t.isCentreSilent(now, p.Server.DataCentre) {
+		return
+	}
+	c := t.centre(p.Server.DataCentre)
+	isNew := now >= c.unreachableUntil
+	c.unreachableUntil = now + unreachableHold
+	if isNew {
+		t.resetFlows = append(t.resetFlows, resetScope{dataCentre: p.Server.DataCentre})
+	}
+}
+
+// isCentreSilent reports whether minUnreachableServers servers of a data centre,
+// or all if there are fewer but at least two, are unreachable and none has
+// answered since the first of them fell silent. While other servers of the data
+// centre answer, it is false, however many servers crash.
+func (t *Table) isCentreSilent(now time.Duration, dataCentre string) bool {
+	lastAnswerAt := t.centre(dataCentre).lastAnswerAt
+	servers, unreachable := 0, 0
+	for m, h := range t.health {
+		if s := t.view.ServersByMark[m]; s == nil || s.DataCentre != dataCentre || s.Departed {
+			continue
+		}
+		servers++
+		r := &h.reachability
+		if now < r.unreachableUntil && r.silentSince > lastAnswerAt {
+			unreachable++
+		}
+	}
+	return unreachable >= max(2, min(minUnreachableServers, servers))
+}
+
+// resetScope selects flows to be reset: those of the server with a mark or, if
+// that is 0, those of the servers of a data centre.
+type resetScope struct {
+	mark       uint32
+	dataCentre string
+}
+
+// NextReset returns the next open flow to be reset because its server has
+// become unreachable; ok is false if there is none.
+func (t *Table) NextReset(now time.Duration) (r Reset, ok bool) {
+	for len(t.resetFlows) > 0 {
+		scope := t.resetFlows[0]
+		for _, f := range t.flows {
+			s := t.view.ServersByMark[f.serverMark()]
+			if s == nil || !scope.includes(s) || !f.needsServer() || !t.canReset(now, f.key, s) {
+				continue
+			}
+			t.recordReset(f)
+			return Reset{Key: f.key, Sequence: f.lastAck, Server: s}, true
+		}
+		t.resetFlows = t.resetFlows[1:]
+	}
+	return Reset{}, false
+}
+
+func (c resetScope) includes(s *fleet.Server) bool {
+	if c.mark != 0 {
+		return s.Mark == c.mark
+	}
+	return s.DataCentre == c.dataCentre
+}
+
+// canReset reports whether an open flow to a server may be reset: the server is
+// unreachable, the caller may repeat its request, and another server can serve
+// it. If no server is reachable, it is more likely that this host is cut off.
+func (t *Table) canReset(now time.Duration, k Key, s *fleet.Server) bool {
+	route := t.view.Routes[k.Service]
+	if route == nil || !route.Idempotent || !t.isUnreachable(now, s) {
+		return false
+	}
+	for _, target := range route.Targets {
+		for _, other := range t.view.Usable[target.Service] {
+			if !t.health[other.Mark].isSuspect() && !t.isUnreachable(now, other) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// recordReset records that a flow is reset. Its state is kept: if the reset is
+// lost, the caller's next packet is answered by another one.
+func (t *Table) recordReset(f *flow) {
+	f.requestPending, f.answering = false, false
+	t.setInFlight(f, 0)
+}
+
+// checkOverdue requests a probe of the server of a request that has had no
+// answer for a long time, unless the server has answered other packets lately.
+// If the server acknowledged the request before it became unreachable, the
+// caller sends nothing that could show its silence.
+func (t *Table) checkOverdue(now time.Duration, f *flow) {
+	route := t.view.Routes[f.key.Service]
+	if route == nil || !route.Idempotent || !f.requestPending {
+		return
+	}
+	if s := t.view.ServersByMark[f.serverMark()]; s != nil {
+		t.recordSilence(now, now-minSilence, s)
+	}
+	t.timers.push(timer{expiresAt: now + answerTimeout(route), flow: f, generation: f.generation, kind: overdueTimer})
+}
+
+// hasResettable reports whether a caller waits for the server with a mark on a
+// flow that may be reset.
+func (t *Table) hasResettable(mark uint32) bool {
+	for _, f := range t.flows {
+		if f.serverMark() != mark || !f.needsServer() {
+			continue
+		}
+		if route := t.view.Routes[f.key.Service]; route != nil && route.Idempotent {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/steer/unreachable_test.go
@@ -0,0 +1,457 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/internal/vtime"
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+)
+
+// newIdempotentTable returns a table for an idempotent route to a service with
+// one server in each of the given data centres.
+func newIdempotentTable(centres ...string) *Table {
+	t := NewTable(Settings{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 8))})
+	v := testView(centres...)
+	v.Routes[routeAddress].Idempotent = true
+	v.Routes[routeAddress].Objective = 200 * ms
+	t.SetView(0, v)
+	return t
+}
+
+// testRequest sends the nth transmission of a request on an open flow, as seen
+// after the answers up to ack.
+func (t *Table) testRequest(now time.Duration, n int, mark uint32, ack uint32) Verdict {
+	return t.HandlePacket(now, &Packet{Key: key(n), Mark: mark, Sequence: 100 + ack, Ack: ack, Length: 50}, nil)
+}
+
+// testOpenTo opens a flow and returns the mark of its server.
+func (t *Table) testOpenTo(now time.Duration, n int) uint32 {
+	m := t.testSYN(now, n, 0).Server.Mark
+	t.testData(now+ms, n, m, 1, 0)
+	return m
+}
+
+// testProbeAll reports a result for all probes that the table requests, and
+// returns the marks of their servers.
+func (t *Table) testProbeAll(now time.Duration, result ProbeResult) []uint32 {
+	var out []uint32
+	for _, p := range t.TakeProbes() {
+		out = append(out, p.Server.Mark)
+		t.RecordProbe(now, p, result)
+	}
+	return out
+}
+
+// testResets returns the flows that the table resets.
+func (t *Table) testResets(now time.Duration) []Reset {
+	var out []Reset
+	for r, ok := t.NextReset(now); ok; r, ok = t.NextReset(now) {
+		out = append(out, r)
+	}
+	return out
+}
+
+// openSilent opens flow 1, sends a request on it at 1 s and its retransmission
+// 200 ms later.
+func openSilent(t *Table) uint32 {
+	m := t.testOpenTo(0, 1)
+	t.testRequest(time.Second, 1, m, 1)
+	t.testRequest(1200*ms, 1, m, 1)
+	return m
+}
+
+func TestOpenFlowToUnreachableServerIsReset(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a", "b")
+	m := openSilent(table)
+	is.Equal(table.testResets(1200*ms), nil) // Silence alone resets no flow.
+	is.Equal(table.testProbeAll(1300*ms, ProbeFailed), []uint32{m})
+	resets := table.testResets(1300 * ms)
+	is.Equal(len(resets), 1)
+	is.Equal(resets[0].Key, key(1))
+	is.Equal(resets[0].Sequence, uint32(1))
+	for n := range 20 {
+		is.True(table.testSYN(1300*ms, 10+n, 0).Server.Mark != m) // The next try goes elsewhere.
+	}
+}
+
+func TestLostResetIsRepeated(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a", "b")
+	m := openSilent(table)
+	table.testProbeAll(1300*ms, ProbeFailed)
+	table.testResets(1300 * ms)
+	v := table.testRequest(1600*ms, 1, m, 1)
+	is.Equal(v.Action, ResetFlow)
+	is.Equal(v.Server.Mark, m)
+}
+
+func TestFlowIsNotReset(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(table *Table, m uint32)
+		result  ProbeResult
+	}{
+		{"the probe is answered", func(*Table, uint32) {}, ProbeAnswered},
+		{"the host was paused during the probe", func(*Table, uint32) {}, ProbeInconclusive},
+		{"the route is not idempotent", func(table *Table, _ uint32) { table.view.Routes[routeAddress].Idempotent = false }, ProbeFailed},
+		{"an answer to another flow arrives during the probe", func(table *Table, m uint32) {
+			table.recordReachable(1250*ms, table.view.ServersByMark[m])
+		}, ProbeFailed},
+		{"no other server answers", func(table *Table, m uint32) {
+			for mark, h := range table.health {
+				if mark != m {
+					h.recordUnanswered(1200*ms, 1100*ms)
+				}
+			}
+		}, ProbeFailed},
+		{"the server restarted", func(table *Table, m uint32) {
+			v := testView("a", "a", "b")
+			v.Routes[routeAddress].Idempotent = true
+			v.ServersByMark[m].Started = time.Unix(1, 0)
+			table.SetView(1250*ms, v)
+		}, ProbeFailed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newIdempotentTable("a", "a", "b")
+			m := openSilent(table)
+			probes := table.TakeProbes()
+			is.Equal(len(probes), 1)
+			tt.prepare(table, m)
+			table.RecordProbe(1300*ms, probes[0], tt.result)
+			is.Equal(table.testResets(1300*ms), nil)
+			is.Equal(table.testRequest(1600*ms, 1, m, 1).Action, Forward)
+		})
+	}
+}
+
+func TestSilenceThatRequestsNoProbe(t *testing.T) {
+	t.Run("data and retransmission arrive together after a pause", func(t *testing.T) {
+		is := is.New(t)
+		table := newIdempotentTable("a", "a")
+		m := table.testOpenTo(0, 1)
+		table.testRequest(time.Second, 1, m, 1)
+		table.testRequest(time.Second+ms, 1, m, 1)
+		is.Equal(table.TakeProbes(), nil)
+	})
+	t.Run("only the retransmission arrives at this host", func(t *testing.T) {
+		is := is.New(t)
+		table := newIdempotentTable("a", "a")
+		table.testRequest(time.Second, 1, 1, 1)
+		is.Equal(table.TakeProbes(), nil)
+	})
+	t.Run("the server answers another caller", func(t *testing.T) {
+		is := is.New(t)
+		table := newIdempotentTable("a")
+		table.testOpenTo(0, 1)
+		table.testOpenTo(0, 2)
+		table.testRequest(time.Second, 1, 1, 1)
+		table.testData(1100*ms, 2, 1, 9, 0)
+		table.testRequest(1200*ms, 1, 1, 1)
+		is.Equal(table.TakeProbes(), nil)
+	})
+	t.Run("a slow answer while the server answers others", func(t *testing.T) {
+		is := is.New(t)
+		table := newIdempotentTable("a")
+		table.testOpenTo(0, 1)
+		table.testOpenTo(0, 2)
+		table.testRequest(time.Second, 1, 1, 1)
+		table.testData(1350*ms, 2, 1, 9, 0)
+		table.testResendAll(1400 * ms)
+		is.Equal(table.TakeProbes(), nil)
+	})
+}
+
+// TestAcknowledgedRequestIsReset covers a server that becomes unreachable after
+// it acknowledged a request: its caller retransmits nothing.
+func TestAcknowledgedRequestIsReset(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a", "b")
+	m := table.testOpenTo(0, 1)
+	table.testRequest(time.Second, 1, m, 1)
+	table.testResendAll(1399 * ms)
+	is.Equal(table.TakeProbes(), nil)
+	table.testResendAll(1400 * ms)
+	is.Equal(table.testProbeAll(1450*ms, ProbeAnswered), []uint32{m}) // Slow, but reachable.
+	is.Equal(table.testResets(1450*ms), nil)
+	table.testResendAll(3800 * ms) // The wait goes on, and so do the checks.
+	is.Equal(table.testProbeAll(3900*ms, ProbeFailed), []uint32{m})
+	is.Equal(len(table.testResets(3900*ms)), 1)
+}
+
+func TestPartialAnswerIsReset(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a")
+	for n := range 10 {
+		table.testOpenTo(0, n)
+		table.testRequest(time.Second, n, table.flows[key(n)].pinnedMark, 1)
+		table.testData(1010*ms, n, table.flows[key(n)].pinnedMark, 500, 0)
+	}
+	table.testRequest(1100*ms, 0, 1, 500)
+	table.testRequest(1300*ms, 0, 1, 500)
+	table.testProbeAll(1400*ms, ProbeFailed)
+	for _, r := range table.testResets(1400 * ms) {
+		is.Equal(r.Server.Mark, uint32(1))
+		is.Equal(r.Sequence, uint32(500))
+	}
+}
+
+func TestAdoptedFlowIsReset(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a")
+	table.testRequest(time.Second, 1, 1, 1) // Opened through another host.
+	table.testRequest(1200*ms, 1, 1, 1)
+	table.testProbeAll(1300*ms, ProbeFailed)
+	is.Equal(len(table.testResets(1300*ms)), 1)
+}
+
+func TestAdoptedFlowFollowsPin(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a")
+	is.Equal(table.testRequest(time.Second, 1, 1, 1).Server.Mark, uint32(1))
+	table.AddPin(time.Second, Pin{Key: key(1), Mark: 2})
+	is.Equal(table.testRequest(1010*ms, 1, 1, 1).Server.Mark, uint32(2))
+}
+
+func TestFlowToReplacedServerIsResetAtOnce(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a")
+	table.view.ServersByMark[1].Replaced = true
+	is.Equal(table.testRequest(time.Second, 1, 1, 1).Action, ResetFlow)
+	is.Equal(table.testRequest(time.Second, 2, 2, 1).Action, Forward)
+}
+
+func TestFirstRequestToDepartedServerIsProbed(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a")
+	table.view.ServersByMark[1].Departed = true
+	is.Equal(table.testRequest(time.Second, 1, 1, 1).Action, Forward)
+	is.Equal(table.testProbeAll(1002*ms, ProbeFailed), []uint32{1})
+	is.Equal(len(table.testResets(1002*ms)), 1)
+}
+
+func TestReachableServerGetsFlowsAgain(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a", "b")
+	m := openSilent(table)
+	table.testProbeAll(1300*ms, ProbeFailed)
+	is.Equal(table.testRequest(1600*ms, 2, m, 1).Action, ResetFlow)
+	now := 1300*ms + initialProbeInterval
+	is.Equal(table.testRequest(now, 3, m, 1).Action, ResetFlow) // It also requests the next probe.
+	is.Equal(table.testProbeAll(now+ms, ProbeAnswered), []uint32{m})
+	is.Equal(table.testRequest(now+2*ms, 4, m, 1).Action, Forward)
+	is.True(!table.isUnreachable(1300*ms+unreachableHold, table.view.ServersByMark[m]))
+}
+
+// silence opens flows to the servers with the given marks, lets a request on each
+// be unanswered from now on, and fails the probes.
+func (t *Table) silence(now time.Duration, marks ...uint32) {
+	for _, m := range marks {
+		t.testRequest(now, 100+int(m), m, 1)
+		t.testRequest(now+200*ms, 100+int(m), m, 1)
+		t.testProbeAll(now+300*ms, ProbeFailed)
+	}
+}
+
+func TestUnreachableDataCentre(t *testing.T) {
+	centres := []string{"a", "a", "b", "b", "b", "b", "b"}
+	t.Run("after several of its servers", func(t *testing.T) {
+		is := is.New(t)
+		table := newIdempotentTable(centres...)
+		table.silence(time.Second, 3, 4)
+		is.Equal(table.testRequest(1400*ms, 1, 6, 1).Action, Forward)
+		table.silence(time.Second, 5)
+		is.Equal(table.testRequest(1400*ms, 2, 7, 1).Action, ResetFlow)
+		is.Equal(table.testRequest(1400*ms, 3, 1, 1).Action, Forward) // Another data centre.
+		for n := range 20 {
+			is.Equal(table.testSYN(1400*ms, 20+n, 0).Server.DataCentre, "a")
+		}
+	})
+	t.Run("not while another of its servers answers", func(t *testing.T) {
+		is := is.New(t)
+		table := newIdempotentTable(centres...)
+		table.silence(time.Second, 3, 4)
+		table.recordReachable(1250*ms, table.view.ServersByMark[6])
+		table.silence(time.Second, 5)
+		is.Equal(table.testRequest(1400*ms, 2, 7, 1).Action, Forward)
+	})
+	t.Run("until one of its servers answers", func(t *testing.T) {
+		is := is.New(t)
+		table := newIdempotentTable(centres...)
+		table.silence(time.Second, 3, 4, 5)
+		table.recordReachable(1400*ms, table.view.ServersByMark[6])
+		is.Equal(table.testRequest(1400*ms, 2, 7, 1).Action, Forward)
+		is.Equal(table.testRequest(1400*ms, 3, 3, 1).Action, ResetFlow) // No answer yet.
+	})
+}
+
+func TestLongFlowsCountByRequest(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a")
+	table.testOpenTo(0, 1)
+	for i := range 3 {
+		at := time.Duration(i+1) * 350 * ms
+		table.testResendAll(at)
+		table.testRequest(at, 1, 1, uint32(10*i+1))
+		// The timer of the previous request expires while this one is in flight.
+		table.testResendAll(at + 60*ms)
+		is.Equal(table.health[1].inFlight, 1)
+		table.testData(at+70*ms, 1, 1, uint32(10*i+11), 0)
+		is.Equal(table.health[1].inFlight, 0)
+	}
+}
+
+// openFlowSim simulates a host and callers that keep flows open for many
+// requests while the servers of one data centre are cut off.
+type openFlowSim struct {
+	vtime.Clock
+	table    *Table
+	rng      *rand.Rand
+	probing  bool
+	nextPort int
+	// served counts the requests that were answered before their deadline, of
+	// total.
+	served, total int
+}
+
+const (
+	openFlowCutFrom  = 2 * time.Second
+	openFlowCutTo    = 8 * time.Second
+	openFlowDeadline = 2 * time.Second
+)
+
+// openFlowCaller is a caller with an open flow to a server.
+type openFlowCaller struct {
+	sim      *openFlowSim
+	port     int
+	mark     uint32
+	sequence uint32
+	// pending is the time at which the pending request began, 0 for none.
+	pending time.Duration
+	request int
+}
+
+func newOpenFlowSim(probing bool) *openFlowSim {
+	s := &openFlowSim{table: newIdempotentTable("a", "a", "b", "b", "c", "c", "b", "a"), rng: rand.New(rand.NewPCG(3, 9)), probing: probing}
+	for range 48 {
+		c := &openFlowCaller{sim: s}
+		s.After(time.Duration(s.rng.IntN(900))*ms, c.startRequest)
+	}
+	s.Every(5*ms, s.tick)
+	return s
+}
+
+// isCut reports whether a server is cut off.
+func (s *openFlowSim) isCut(v *fleet.Server) bool {
+	return v.DataCentre == "b" && s.Now() >= openFlowCutFrom && s.Now() < openFlowCutTo
+}
+
+func (s *openFlowSim) tick() bool {
+	s.table.testResendAll(s.Now())
+	if s.probing {
+		for _, p := range s.table.TakeProbes() {
+			if !s.isCut(p.Server) {
+				s.table.RecordProbe(s.Now(), p, ProbeAnswered)
+				continue
+			}
+			s.After(120*ms, func() { s.table.RecordProbe(s.Now(), p, ProbeFailed) })
+		}
+	}
+	for r, ok := s.table.NextReset(s.Now()); ok; r, ok = s.table.NextReset(s.Now()) {
+		openFlowCallers[int(r.Key.Caller.Port())-1024].handleReset()
+	}
+	return s.Now() < 12*time.Second
+}
+
+var openFlowCallers = map[int]*openFlowCaller{}
+
+func (c *openFlowCaller) startRequest() {
+	if c.sim.Now() > 10*time.Second {
+		return
+	}
+	c.sim.total++
+	c.pending = c.sim.Now()
+	c.request++
+	if c.port == 0 {
+		c.open()
+	}
+	c.transmit(c.request, 200*ms)
+	request := c.request
+	c.sim.After(openFlowDeadline, func() {
+		if c.request == request && c.pending != 0 {
+			c.pending, c.port = 0, 0
+			c.startRequest()
+		}
+	})
+}
+
+// open opens a flow to the first server that answers.
+func (c *openFlowCaller) open() {
+	c.sim.nextPort++
+	c.port, c.sequence = c.sim.nextPort, 1
+	openFlowCallers[c.port] = c
+	v := c.sim.table.testSYN(c.sim.Now(), c.port, 0)
+	for c.sim.isCut(v.Server) {
+		// The handshake timeout is simulated without its delay.
+		f := c.sim.table.flows[key(c.port)]
+		v.Server = c.sim.table.failOver(c.sim.Now(), f)
+	}
+	c.mark = v.Server.Mark
+	c.sim.table.testData(c.sim.Now(), c.port, c.mark, 1, 0)
+}
+
+// transmit sends the pending request, and again after a timeout that doubles.
+func (c *openFlowCaller) transmit(request int, timeout time.Duration) {
+	if c.request != request || c.pending == 0 {
+		return
+	}
+	v := c.sim.table.testRequest(c.sim.Now(), c.port, c.mark, c.sequence)
+	if v.Action == ResetFlow {
+		c.handleReset()
+		return
+	}
+	if !c.sim.isCut(v.Server) {
+		c.sim.After(40*ms, func() { c.finish(request, v.Server) })
+		return
+	}
+	c.sim.After(timeout, func() { c.transmit(request, 2*timeout) })
+}
+
+// handleReset repeats the pending request on a new flow.
+func (c *openFlowCaller) handleReset() {
+	c.port = 0
+	if c.pending != 0 {
+		c.open()
+		c.transmit(c.request, 200*ms)
+	}
+}
+
+func (c *openFlowCaller) finish(request int, s *fleet.Server) {
+	if c.request != request || c.pending == 0 || c.sim.isCut(s) {
+		return
+	}
+	c.sim.served++
+	c.pending = 0
+	c.sequence += 100
+	c.sim.table.testData(c.sim.Now(), c.port, c.mark, c.sequence, 0)
+	c.sim.After(time.Duration(500+c.sim.rng.IntN(500))*ms, c.startRequest)
+}
+
+// TestOpenFlowsSurviveLossOfDataCentre replays a data centre that is cut off
+// under open flows. All requests but those of the first moments must be served,
+// which fails without probes.
+func TestOpenFlowsSurviveLossOfDataCentre(t *testing.T) {
+	is := is.New(t)
+	with := newOpenFlowSim(true)
+	with.RunUntil(15 * time.Second)
+	is.Equal(with.served, with.total)
+	without := newOpenFlowSim(false)
+	without.RunUntil(15 * time.Second)
+	is.True(without.served < without.total)
+}
