Probe a reference server beside the silent one

Change: a probe connects to a second server at the same time, with half the timeout; if that is not reached either, the probe is inconclusive. Ruled out: longer timeouts (a link may be busy for longer than callers wait).

--- a/internal/marked/probe.go
+++ b/internal/marked/probe.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/steer"
 )
 
@@ -13,9 +14,9 @@
 	// packets of one may be lost, and probeTimeout the timeout of each.
 	probeAttempts = 2
 	probeTimeout  = 60 * time.Millisecond
-	// maxProbeDelay is how much longer than its timeouts a probe may take. Beyond
-	// that, the host was paused, and the server may have answered in time.
-	maxProbeDelay = 60 * time.Millisecond
+	// referenceTimeout is the timeout of the connections to the reference. It is
+	// shorter, so that a delay at this host affects the reference first.
+	referenceTimeout = 30 * time.Millisecond
 	// maxConcurrentProbes limits the sockets of probes.
 	maxConcurrentProbes = 16
 )
@@ -38,25 +39,36 @@
 	}
 }
 
-// probe tries to connect to a server. A refused connection counts as a failure:
-// the server's process has ended.
+// probe tries to connect to a server and, at the same time, to its reference. A
+// refused connection counts as a failure: the server's process has ended.
 func (t *traffic) probe(p steer.Probe) steer.ProbeResult {
-	started := t.clock.now()
 	for range probeAttempts {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		conn, err := new(net.Dialer).DialContext(ctx, "tcp4", p.Server.Address.String())
-		cancel()
-		if err == nil {
-			_ = conn.Close()
+		reference := make(chan bool, 1)
+		go func() { reference <- t.connect(p.Reference, referenceTimeout) }()
+		if t.connect(p.Server, probeTimeout) {
 			return steer.ProbeAnswered
 		}
-	}
-	if t.clock.now()-started > probeAttempts*probeTimeout+maxProbeDelay {
-		return steer.ProbeInconclusive
+		if !<-reference {
+			return steer.ProbeInconclusive
+		}
 	}
 	return steer.ProbeFailed
 }
 
+// connect reports whether a server accepts a connection within a timeout. If
+// this process was paused meanwhile, the timeout counts as exceeded.
+func (t *traffic) connect(s *fleet.Server, timeout time.Duration) bool {
+	started := t.clock.now()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", s.Address.String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return t.clock.now()-started <= timeout
+}
+
 // reportProbe passes the result of a probe to the traffic loop and wakes it.
 func (t *traffic) reportProbe(p steer.Probe, result steer.ProbeResult) {
 	t.pendingProbes.Add(-1)
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -15,9 +15,10 @@
 // the caller of an idempotent route repeats the request on a new flow.
 //
 // Silence is only a reason to probe a server: the packets of one flow may be
-// lost, the host may have been paused, or the server may be slow. A server is
-// unreachable if a probe fails and the server has not answered any packet since
-// the probe began. A data centre is unreachable if that holds for several of its
+// lost, the host may have been paused or its link may be full, or the server may
+// be slow. A server is unreachable if a probe fails while another server, the
+// reference, is reached in less time, and the server has not answered any packet
+// since the probe began. A data centre is unreachable if that holds for several of its
 // servers and none of the others has answered in the meantime.
 
 const (
@@ -44,6 +45,9 @@
 // Probe is a request to probe whether a server accepts connections.
 type Probe struct {
 	Server *fleet.Server
+	// Reference is a server to be probed at the same time. If it is not reached
+	// either, the fault is more likely to be at this host.
+	Reference *fleet.Server
 	// StartedAt is when the probe was requested.
 	StartedAt time.Duration
 }
@@ -128,8 +132,44 @@
 	if h == nil || h.reachability.probing || now < h.reachability.nextProbeAt {
 		return
 	}
+	reference := t.chooseReference(now, s)
+	if reference == nil {
+		return
+	}
 	h.reachability.probing = true
-	t.newProbes = append(t.newProbes, Probe{Server: s, StartedAt: now})
+	t.newProbes = append(t.newProbes, Probe{Server: s, Reference: reference, StartedAt: now})
+}
+
+// chooseReference returns the reference for a probe of s: the server that
+// answered last, preferably outside the data centre of s. It returns nil if there
+// is no other server.
+func (t *Table) chooseReference(now time.Duration, s *fleet.Server) *fleet.Server {
+	var best *fleet.Server
+	for m, h := range t.health {
+		other := t.view.ServersByMark[m]
+		if other == nil || other == s || other.Departed || h.isSuspect() || t.isUnreachable(now, other) {
+			continue
+		}
+		if best == nil || t.isBetterReference(now, s, other, best) {
+			best = other
+		}
+	}
+	return best
+}
+
+// isBetterReference reports whether a is a better reference than b for a probe
+// of s. Between servers that are equal otherwise, the choice varies with time, in
+// case one of them does not answer.
+func (t *Table) isBetterReference(now time.Duration, s, a, b *fleet.Server) bool {
+	aOutside, bOutside := a.DataCentre != s.DataCentre, b.DataCentre != s.DataCentre
+	if aOutside != bOutside {
+		return aOutside
+	}
+	aAnswered, bAnswered := t.health[a.Mark].lastAnswerAt, t.health[b.Mark].lastAnswerAt
+	if aAnswered != bAnswered {
+		return aAnswered > bAnswered
+	}
+	return a.Mark^uint32(now) < b.Mark^uint32(now)
 }
 
 // TakeProbes returns the probes requested since the last call. The application
@@ -145,11 +185,13 @@
 
 // The results of probes.
 const (
-	// ProbeInconclusive means that the host was paused during the probe.
+	// ProbeInconclusive means that neither the server nor the reference was
+	// reached, or that the host was paused.
 	ProbeInconclusive ProbeResult = iota
 	// ProbeAnswered means that the server accepted a connection.
 	ProbeAnswered
-	// ProbeFailed means that the server accepted none in time.
+	// ProbeFailed means that the reference accepted each connection in time and
+	// the server none.
 	ProbeFailed
 )
 
