Probe suspect servers by connections, not by callers' flows

Cause: a server whose process has ended resets SYNs, so each new flow that was sent to it as a probe cost its caller a try. Change: a suspect server gets a flow only after a connection reached it. Three silent servers lead to probes of eight more of their data centre, those that answered last; only if all of them fail, the data centre is unreachable.

--- a/pkg/steer/choose.go
+++ b/pkg/steer/choose.go
@@ -86,10 +86,11 @@
 	return false
 }
 
-// Costs of a server that does not answer. When its backoff is over, probeCost
-// ranks it first for a new flow, which serves as a probe. Otherwise, and for any
-// further try, suspectCost ranks it after all servers that answer, and after
-// suspect servers whose latest unanswered SYN is older.
+// Costs of a server that does not answer. Once a probe has reached it and its
+// backoff is over, probeCost ranks it first for a new flow, which shows whether it
+// answers SYNs. Otherwise, and for any further try, suspectCost ranks it after all
+// servers that answer, and after suspect servers whose latest unanswered SYN is
+// older.
 const (
 	probeCost   = -1.0
 	suspectCost = 1e6
@@ -99,11 +100,14 @@
 // server. The server with the least cost is chosen.
 func (t *Table) cost(now time.Duration, s *fleet.Server, f *flow) float64 {
 	health := t.health[s.Mark]
-	if unreachable := t.isUnreachable(now, s); unreachable || health.isSuspect() {
-		if now < health.retryAt || f != nil || unreachable && !health.isSuspect() {
-			return suspectCost + float64(health.lastUnansweredAt)/float64(time.Second)
+	if health.isSuspect() && f == nil && now >= health.retryAt {
+		if health.reachability.answeredAt > health.lastUnansweredAt {
+			return probeCost
 		}
-		return probeCost
+		t.requestProbe(now, s)
+	}
+	if health.isSuspect() || t.isUnreachable(now, s) {
+		return suspectCost + float64(health.lastUnansweredAt)/float64(time.Second)
 	}
 	cost := float64(health.inFlight+1) / float64(s.Slots) * health.slowness.costFactor(now)
 	if now < s.WarmupEnd {
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -181,6 +181,5 @@
 	if h := t.health[s.Mark]; h != nil {
 		h.recordAnswer(now)
 	}
-	c := t.centre(s.DataCentre)
-	c.lastAnswerAt, c.unreachableUntil = now, 0
+	t.centre(s.DataCentre).recordReachable(now)
 }
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/fleet"
@@ -18,8 +20,8 @@
 // lost, the host may have been paused or its link may be full, or the server may
 // be slow. A server is unreachable if a probe fails while another server, the
 // reference, is reached in less time, and the server has not answered any packet
-// since the probe began. A data centre is unreachable if that holds for several of its
-// servers and none of the others has answered in the meantime.
+// since the probe began. A data centre is unreachable if that holds for several
+// of its servers, among them those that answered last.
 
 const (
 	// minSilence is the least time between the first transmission of data and a
@@ -37,9 +39,11 @@
 	// answeredProbeInterval is the least time between a successful probe of a
 	// server and the next one.
 	answeredProbeInterval = 2 * time.Second
-	// minUnreachableServers is the number of unreachable servers from which on
-	// their data centre counts as unreachable.
-	minUnreachableServers = 3
+	// minSilentServers is the number of unreachable servers of a data centre from
+	// which on centreProbes more are probed, those that answered last. If all of
+	// these are unreachable too, the data centre is.
+	minSilentServers = 3
+	centreProbes     = 8
 )
 
 // Probe is a request to probe whether a server accepts connections.
@@ -68,6 +72,8 @@
 	probing      bool
 	failedProbes int
 	nextProbeAt  time.Duration
+	// answeredAt is when a probe was last answered.
+	answeredAt time.Duration
 	// silentSince is when the first packet was sent that the server did not
 	// answer before the latest failed probe. It is valid if failedProbes is
 	// positive.
@@ -90,6 +96,11 @@
 	unreachableUntil time.Duration
 }
 
+// recordReachable records that a server of the data centre answered.
+func (c *centreReachability) recordReachable(now time.Duration) {
+	c.lastAnswerAt, c.unreachableUntil = now, 0
+}
+
 // centre returns the state of a data centre.
 func (t *Table) centre(dataCentre string) *centreReachability {
 	c := t.centres[dataCentre]
@@ -214,7 +225,9 @@
 		r.nextProbeAt = now + initialProbeInterval
 	case result == ProbeAnswered || h.lastAnswerAt > p.StartedAt:
 		r.recordReachable()
+		r.answeredAt = now
 		r.nextProbeAt = now + answeredProbeInterval
+		t.centre(p.Server.DataCentre).recordReachable(now)
 	default:
 		t.recordUnreachable(now, p, h)
 	}
@@ -232,35 +245,44 @@
 	r.unreachableUntil = now + unreachableHold
 	h.recordUnanswered(now, p.StartedAt)
 	t.resetFlows = append(t.resetFlows, resetScope{mark: p.Server.Mark})
-	if !t.isCentreSilent(now, p.Server.DataCentre) {
-		return
-	}
-	c := t.centre(p.Server.DataCentre)
-	isNew := now >= c.unreachableUntil
-	c.unreachableUntil = now + unreachableHold
-	if isNew {
-		t.resetFlows = append(t.resetFlows, resetScope{dataCentre: p.Server.DataCentre})
-	}
+	t.updateCentre(now, p.Server.DataCentre)
 }
 
-// isCentreSilent reports whether minUnreachableServers servers of a data centre,
-// or all if there are fewer but at least two, are unreachable and none has
-// answered since the first of them fell silent. While other servers of the data
-// centre answer, it is false, however many servers crash.
-func (t *Table) isCentreSilent(now time.Duration, dataCentre string) bool {
-	lastAnswerAt := t.centre(dataCentre).lastAnswerAt
-	servers, unreachable := 0, 0
+// updateCentre decides whether a data centre is unreachable, after a probe of one
+// of its servers failed. If several servers have fallen silent since any last
+// answered, it probes more of them. While others answer, the data centre is
+// reachable, however many servers crash.
+func (t *Table) updateCentre(now time.Duration, dataCentre string) {
+	c := t.centre(dataCentre)
+	silent := 0
+	var others []*fleet.Server
 	for m, h := range t.health {
-		if s := t.view.ServersByMark[m]; s == nil || s.DataCentre != dataCentre || s.Departed {
+		s := t.view.ServersByMark[m]
+		if s == nil || s.DataCentre != dataCentre || s.Departed {
+			continue
+		}
+		if r := &h.reachability; now < r.unreachableUntil && r.silentSince > c.lastAnswerAt {
+			silent++
 			continue
 		}
-		servers++
-		r := &h.reachability
-		if now < r.unreachableUntil && r.silentSince > lastAnswerAt {
-			unreachable++
+		others = append(others, s)
+	}
+	if silent < min(minSilentServers, silent+len(others)) {
+		return
+	}
+	if len(others) == 0 && silent > 1 || silent >= minSilentServers+centreProbes {
+		if now >= c.unreachableUntil {
+			t.resetFlows = append(t.resetFlows, resetScope{dataCentre: dataCentre})
 		}
+		c.unreachableUntil = now + unreachableHold
+		return
+	}
+	slices.SortFunc(others, func(a, b *fleet.Server) int {
+		return cmp.Or(cmp.Compare(t.health[b.Mark].lastAnswerAt, t.health[a.Mark].lastAnswerAt), cmp.Compare(a.Mark, b.Mark))
+	})
+	for _, s := range others[:min(centreProbes, len(others))] {
+		t.requestProbe(now, s)
 	}
-	return unreachable >= max(2, min(minUnreachableServers, servers))
 }
 
 // resetScope selects flows to be reset: those of the server with a mark or, if
