--- a/internal/marked/probe.go
+++ b/internal/marked/probe.go
@@ -10,11 +10,10 @@
 )
 
 const (
-	// probeAttempts is the number of connection attempts of a probe, since the
-	// packets of one may be lost, and probeTimeout the timeout of each.
-	probeAttempts = 2
-	probeTimeout  = 60 * time.Millisecond
-	// referenceTimeout is the timeout of the connections to the reference. It is
+	// probeTimeout is the timeout of each of the two connection attempts of a
+	// probe. There are two, since the packets of one may be lost.
+	probeTimeout = 60 * time.Millisecond
+	// referenceTimeout is the timeout of the connection to the reference. It is
 	// shorter, so that a delay at this host affects the reference first.
 	referenceTimeout = 30 * time.Millisecond
 	// maxConcurrentProbes limits the sockets of probes.
@@ -39,18 +38,19 @@
 	}
 }
 
-// probe tries to connect to a server and, at the same time, to its reference. A
-// refused connection counts as a failure: the server's process has ended.
+// probe tries to connect to a server, and the second time also to its reference.
+// A refused connection counts as a failure: the server's process has ended.
 func (t *traffic) probe(p steer.Probe) steer.ProbeResult {
-	for range probeAttempts {
-		reference := make(chan bool, 1)
-		go func() { reference <- t.connect(p.Reference, referenceTimeout) }()
-		if t.connect(p.Server, probeTimeout) {
-			return steer.ProbeAnswered
-		}
-		if !<-reference {
-			return steer.ProbeInconclusive
-		}
+	if t.connect(p.Server, probeTimeout) {
+		return steer.ProbeAnswered
+	}
+	reference := make(chan bool, 1)
+	go func() { reference <- t.connect(p.Reference, referenceTimeout) }()
+	if t.connect(p.Server, probeTimeout) {
+		return steer.ProbeAnswered
+	}
+	if !<-reference {
+		return steer.ProbeInconclusive
 	}
 	return steer.ProbeFailed
 }
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -201,8 +201,8 @@
 	ProbeInconclusive ProbeResult = iota
 	// ProbeAnswered means that the server accepted a connection.
 	ProbeAnswered
-	// ProbeFailed means that the reference accepted each connection in time and
-	// the server none.
+	// ProbeFailed means that the reference accepted a connection in time and the
+	// server none.
 	ProbeFailed
 )
 
