--- a/internal/marked/digest.go
+++ b/internal/marked/digest.go
@@ -64,6 +64,30 @@
 	return d
 }
 
+// knownHosts returns all other hosts that any host has seen lately.
+func (p *peers) knownHosts(now time.Duration) []knownHost {
+	var out []knownHost
+	for _, id := range p.sortedIDs {
+		if other := p.byID[id]; now-other.lastSeen < initialRecordAge {
+			out = append(out, knownHost{Address: other.address.String(), DataCentre: other.dataCentre, Age: now - other.lastSeen})
+		}
+	}
+	return out
+}
+
+// addKnownHosts adds the hosts that another host knows.
+func (p *peers) addKnownHosts(now time.Duration, known []knownHost) {
+	changed := false
+	for _, k := range known {
+		if a, err := netip.ParseAddrPort(k.Address); err == nil {
+			changed = p.observeHost(now, a, k.DataCentre, now-max(0, k.Age)) || changed
+		}
+	}
+	if changed {
+		p.updateHostLists()
+	}
+}
+
 // fitsDatagram reports whether a digest fits a datagram together with its
 // changes.
 func (p *peers) fitsDatagram(d *digest) bool {
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -60,13 +60,15 @@
 	// fetchTimeout is the timeout of a fetch from a peer.
 	fetchTimeout = time.Second
 	// announceTTL is the TTL of a host's record in the store, and
-	// announceInterval the interval at which a host checks that the store still
-	// has its record.
+	// announceInterval the interval at which a host checks whether the store has
+	// enough records.
 	announceTTL      = 10 * time.Minute
 	announceInterval = 2 * time.Minute
-	// firstAnnounceDelay is the minimum delay of the first check after the start.
-	// A random delay of up to the same duration is added.
-	firstAnnounceDelay = 2 * time.Second
+	// firstAnnounceDelay is the minimum delay of the first check after the start,
+	// by which hosts that started at the same time know each other. A random delay
+	// of up to firstAnnounceSpread is added.
+	firstAnnounceDelay  = 4 * time.Second
+	firstAnnounceSpread = 2 * time.Second
 	// hostRecordPrefix is the prefix of the keys of hosts' records.
 	hostRecordPrefix = "hosts/"
 )
@@ -114,9 +116,11 @@
 	pendingBroadcasts map[string]*broadcast
 	nextDigest        time.Duration
 	retained          retainedQueries
-	// nextAnnounce is the time of the next check that the store has the record of
-	// this host.
+	// nextAnnounce is the time of the next check whether the store has enough
+	// records of hosts.
 	nextAnnounce time.Duration
+	// recordWrittenAt is when this process last wrote it, 0 for never.
+	recordWrittenAt time.Duration
 }
 
 // peerID returns the ID of the host with a peer address.
@@ -126,7 +130,7 @@
 	self := peerID(h.settings.PeerAddress)
 	p := &peers{
 		host: h, sampledLog: newSampledLogger(h.log, unusualLinesPerSecond), conn: conn, self: self, byID: map[uint64]*peer{}, idsByDataCentre: map[string][]uint64{}, pendingBroadcasts: map[string]*broadcast{},
-		nextAnnounce: firstAnnounceDelay + rand.N(firstAnnounceDelay),
+		nextAnnounce: firstAnnounceDelay + rand.N(firstAnnounceSpread),
 		gossip:       gossip.New(self, gossip.Settings{FetchTimeout: fetchTimeout}, rand.New(rand.NewPCG(rand.Uint64(), self))),
 		watchers:     gossip.NewWatcherSelector(self, gossip.WatcherSelectorSettings{}),
 		coordinator:  drain.NewCoordinator(self, drain.Settings{MaxWait: max(unreadyPollInterval, h.settings.ShutdownTimeout-minDrainTime-drainIdleTime-shutdownMargin)}),
@@ -166,15 +170,10 @@
 		return
 	}
 	d.Age = max(0, d.Age) // A replica cannot be current in the future.
-	changed := p.observeHost(now, a, d.DataCentre, now)
-	for _, k := range d.KnownHosts {
-		if other, err := netip.ParseAddrPort(k.Address); err == nil {
-			changed = p.observeHost(now, other, k.DataCentre, now-max(0, k.Age)) || changed
-		}
-	}
-	if changed {
+	if p.observeHost(now, a, d.DataCentre, now) {
 		p.updateHostLists()
 	}
+	p.addKnownHosts(now, d.KnownHosts)
 	from := p.byID[peerID(a)]
 	if len(d.Pins) > 0 {
 		p.host.traffic.addReceivedPins(d.Pins)
--- a/internal/marked/record.go
+++ b/internal/marked/record.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"lagoonramp.org/lagoonramp/pkg/gossip"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 )
 
@@ -55,23 +56,45 @@
 }
 
 // announceRecord adds the hosts whose records are in the replica. It writes the
-// record of this host to the store if the replica does not have it.
+// record of this host to the store if too few live hosts of its data centre have
+// one there.
 func (p *peers) announceRecord(now time.Duration, c *control) {
 	p.nextAnnounce = now + announceInterval
 	own := hostRecord{Address: p.host.settings.PeerAddress.String(), DataCentre: p.host.settings.DataCentre}
-	found := false
+	recorded := map[uint64]bool{}
 	var items []mirror.Item
 	c.replica.ForEachItem(func(i mirror.Item) {
 		r, ok := p.decodeRecord(i)
-		found = found || ok && r == own
+		if !ok {
+			return
+		}
 		items = append(items, i)
+		if a, err := netip.ParseAddrPort(r.Address); err == nil && r.DataCentre == own.DataCentre {
+			recorded[peerID(a)] = true
+		}
 	})
 	p.addRecords(now, items)
-	if !found {
+	if p.recordWrittenAt > 0 && now-p.recordWrittenAt > announceTTL-2*announceInterval {
+		delete(recorded, p.self) // It is about to expire.
+	}
+	if gossip.NeedsRecord(p.self, p.liveInDataCentre(now), recorded) {
+		p.recordWrittenAt = now
 		go p.host.writeRecord(own)
 	}
 }
 
+// liveInDataCentre returns the other hosts of this data centre that any host has
+// seen lately, and not only in the store.
+func (p *peers) liveInDataCentre(now time.Duration) []uint64 {
+	var out []uint64
+	for _, id := range p.idsByDataCentre[p.host.settings.DataCentre] {
+		if now-p.byID[id].lastSeen < initialRecordAge {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // writeRecord writes the record of this host to the store. This takes two
 // calls.
 func (h *Host) writeRecord(r hostRecord) {
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -27,6 +27,9 @@
 	// UpFor is the time since the replying host started.
 	UpFor         time.Duration       `json:"upFor"`
 	RetainedState fleet.RetainedState `json:"remnants"`
+	// KnownHosts are the hosts that were seen lately, since the store has the
+	// records of a few hosts only.
+	KnownHosts []knownHost `json:"known,omitempty"`
 }
 
 // retainedQueries is the progress of the queries by which a host obtains, after
@@ -91,12 +94,14 @@
 	if reply.UpFor >= c.host.settings.FlowLifetime {
 		c.peers.retained.done = true
 	}
+	now := c.host.now()
+	c.peers.addKnownHosts(now, reply.KnownHosts)
 	c.host.log.Info("peers: retained state fetched", zap.Stringer("peer", from), zap.Duration("upFor", reply.UpFor),
+		zap.Int("hosts", len(reply.KnownHosts)),
 		zap.Int("departedServers", len(reply.RetainedState.Servers)), zap.Int("formerTargets", len(reply.RetainedState.Targets)))
 	if len(reply.RetainedState.Servers)+len(reply.RetainedState.Targets) == 0 {
 		return
 	}
-	now := c.host.now()
 	c.builder.MergeRetainedState(now, reply.RetainedState)
 	c.buildView(now)
 }
@@ -110,7 +115,7 @@
 	var reply retainedStateReply
 	h.callControl(func(c *control) {
 		now := h.now()
-		reply = retainedStateReply{UpFor: now, RetainedState: c.builder.RetainedState(now)}
+		reply = retainedStateReply{UpFor: now, RetainedState: c.builder.RetainedState(now), KnownHosts: c.peers.knownHosts(now)}
 	})
 	h.writeCompressed(w, &reply)
 }
--- a/internal/marked/watch.go
+++ b/internal/marked/watch.go
@@ -12,20 +12,32 @@
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 )
 
+// servedValidity is how long the outcome of the latest call shows whether the
+// store serves this host.
+const servedValidity = time.Second
+
 // watchLoop watches the store while shouldWatch is set, until the context ends.
 func (h *Host) watchLoop(ctx context.Context) {
 	retryDelay, grace := initialRetryDelay, minWatchGrace
 	for ctx.Err() == nil {
 		if !h.shouldWatch.Load() {
-			h.served.Store(false)
+			lastCall := h.now()
 			select {
 			case <-ctx.Done():
 			case <-h.watchWake:
 			}
+			if h.now()-lastCall > servedValidity {
+				h.served.Store(false)
+			}
 			continue
 		}
+		isFirst := h.storeRevision.Load() == 0
 		changed, err := h.pollStore(ctx, grace)
 		switch {
+		case err == nil && isFirst:
+			// The control loop decides whether this host watches for others.
+			h.recordStoreSuccess()
+			h.shouldWatch.Store(false)
 		case err == nil:
 			retryDelay, grace = initialRetryDelay, minWatchGrace
 			h.recordStoreSuccess()
--- a/pkg/gossip/watchers.go
+++ b/pkg/gossip/watchers.go
@@ -22,12 +22,17 @@
 	// MaxDelay bounds the delay before a host replaces a lost watcher. The
 	// default is 1.5 s.
 	MaxDelay time.Duration
+	// StartDelay is an additional delay after the start of a host, unless it ranks
+	// first among the hosts that it knows: it does not know most others yet, and
+	// has just read the store. The default is 1 s.
+	StartDelay time.Duration
 }
 
 const (
 	defaultWatcherTimeout = 1200 * time.Millisecond
 	defaultRankDelay      = 60 * time.Millisecond
 	defaultMaxDelay       = 1500 * time.Millisecond
+	defaultStartDelay     = time.Second
 )
 
 // WatcherSelector decides whether a host watches the store itself. In each
@@ -46,6 +51,10 @@
 	// there are enough.
 	shortSince time.Duration
 	watching   bool
+	// startedAt is when ShouldWatch was first called. It is valid if isStarted is
+	// true.
+	startedAt time.Duration
+	isStarted bool
 }
 
 // NewWatcherSelector returns a WatcherSelector for the host self.
@@ -62,6 +71,9 @@
 	if settings.MaxDelay == 0 {
 		settings.MaxDelay = defaultMaxDelay
 	}
+	if settings.StartDelay == 0 {
+		settings.StartDelay = defaultStartDelay
+	}
 	return &WatcherSelector{settings: settings, self: self, lastServed: map[uint64]time.Duration{}, shortSince: -1}
 }
 
@@ -84,12 +96,15 @@
 // takeover delay. It stops if there are enough others and either the store does
 // not serve it or enough of them have higher scores.
 func (w *WatcherSelector) ShouldWatch(now time.Duration, served bool) bool {
+	if !w.isStarted {
+		w.isStarted, w.startedAt = true, now
+	}
 	others := w.servedHosts(now)
 	if len(others) < w.settings.Watchers {
 		if w.shortSince < 0 {
 			w.shortSince = now
 		}
-		if now-w.shortSince >= w.takeoverDelay() {
+		if now >= w.takeoverAt() {
 			w.watching = true
 		}
 		return w.watching
@@ -115,6 +130,16 @@
 	return out
 }
 
+// takeoverAt returns when this host starts to watch if there are too few other
+// watchers until then.
+func (w *WatcherSelector) takeoverAt() time.Duration {
+	at := w.shortSince + w.takeoverDelay()
+	if w.rank(w.hosts) == 0 {
+		return at
+	}
+	return max(at, w.startedAt+w.settings.StartDelay)
+}
+
 // takeoverDelay returns how long this host waits for hosts with higher scores to
 // start watching. It grows with this host's rank, up to MaxDelay.
 func (w *WatcherSelector) takeoverDelay() time.Duration {
