Soak: open flows on idempotent and unsafe routes

The soak's callers also keep flows open for 20 requests, on a safe and on an unsafe route; a flow of the unsafe route must not be reset. A mutation that takes answered probes for failed ones is added to the mutants.

--- a/.ci/mutants.sh
+++ b/.ci/mutants.sh
@@ -38,3 +38,4 @@
 	}" "	if changed && !c.trafficStarted {
 		c.buildView(now)
 	}"
+mutant "probes ignored" pkg/steer/unreachable.go "	case result == ProbeAnswered || h.lastAnswerAt > p.StartedAt:" "	case h.lastAnswerAt > p.StartedAt+100*time.Hour:"
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,10 @@
 	// recoveryTimeout bounds the time until all hosts are ready at the start and
 	// after the last fault.
 	recoveryTimeout = 12 * time.Second
+	// requestsPerFlow is the number of requests on a flow that stays open, with
+	// openFlowPause between them.
+	requestsPerFlow = 20
+	openFlowPause   = 50 * time.Millisecond
 	// probeInterval is the interval between checks of the optional route and of
 	// the document versions of the hosts.
 	probeInterval = 150 * time.Millisecond
@@ -58,6 +62,7 @@
 			address = cataloguePressAddress
 		}
 		group.Go(func() { t.callLoop(address, i) })
+		group.Go(func() { t.openFlowLoop(address, i) })
 	}
 	group.Go(t.optionalRouteLoop)
 	group.Go(t.versionLoop)
@@ -107,6 +112,33 @@
 	}
 }
 
+// openFlowLoop keeps a flow to a service address open for several requests, again
+// and again until the end of the soak.
+func (t *testbed) openFlowLoop(address netip.AddrPort, caller int) {
+	for i := 0; !t.stopped.Load(); i++ {
+		openedAt := time.Now()
+		if s, _ := t.Caller.Open(address, requestTimeout); s != nil {
+			t.useOpenFlow(s, address, fmt.Sprintf("o%d-%d", caller, i), openedAt)
+			s.Close()
+		}
+		time.Sleep(openFlowPause)
+	}
+}
+
+// useOpenFlow sends requests on an open flow until one fails or the server closes
+// the flow.
+func (t *testbed) useOpenFlow(s *stub.Session, address netip.AddrPort, id string, openedAt time.Time) {
+	for i := 0; i < requestsPerFlow && s.IsOpen() && !t.stopped.Load(); i++ {
+		request := fmt.Sprintf("%s-%d", id, i)
+		o := s.Do(request, 1000, 2*time.Millisecond, requestTimeout)
+		t.checkOutcome(address, request, openedAt, o)
+		if o.Result != stub.Answered {
+			return
+		}
+		time.Sleep(openFlowPause)
+	}
+}
+
 // sendRequest sends a request whose work depends on its size, and checks the
 // guarantees for its outcome.
 func (t *testbed) sendRequest(address netip.AddrPort, id string, size int) stub.Outcome {
@@ -120,11 +152,18 @@
 func (t *testbed) sendRequestWithWork(address netip.AddrPort, id string, size int, work time.Duration) stub.Outcome {
 	startedAt := time.Now()
 	o := t.Caller.Do(address, id, size, work, requestTimeout)
+	t.checkOutcome(address, id, startedAt, o)
+	return o
+}
+
+// checkOutcome checks the guarantees for the outcome of a request whose flow was
+// opened at openedAt.
+func (t *testbed) checkOutcome(address netip.AddrPort, id string, openedAt time.Time, o stub.Outcome) {
 	t.requestCount.Add(1)
 	runs := t.Ledger.RunCount(id)
 	t.mu.Lock()
 	t.resultCounts[o.Result]++
-	serverLost := t.lastServerLoss.After(startedAt.Add(-time.Second))
+	serverLost := t.lastServerLoss.After(openedAt.Add(-time.Second))
 	quiet := t.isQuiet()
 	t.mu.Unlock()
 	switch {
@@ -134,14 +173,15 @@
 		t.recordFinding("request %s got a wrong answer", id)
 	case o.Result == stub.Answered && o.Service != serviceOf[address]:
 		t.recordFinding("request %s for %s was answered by %s", id, serviceOf[address], o.Service)
-	case runs > 0 && (o.Result == stub.Refused || o.Result == stub.NotOpened || o.Result == stub.Shed):
+	case runs > 0 && (o.Result == stub.Refused || o.Result == stub.NotOpened || o.Result == stub.Shed || o.Result == stub.Closed):
 		t.recordFinding("request %s ran, but its caller got the result %s", id, o.Result)
 	case o.Result == stub.Broken && !serverLost:
 		t.recordFinding("the flow of request %s broke although no server was lost: %s", id, o.Detail)
 	case quiet && !serverLost && (o.Result == stub.TimedOut || o.Result == stub.NotOpened || (o.Result == stub.Refused && address != optionalAddress)):
 		t.recordFinding("request %s was %s although no unplanned fault was active", id, o.Result)
+	case o.Result == stub.Broken && address == cataloguePressAddress:
+		t.recordFinding("the flow of request %s broke although its route is not idempotent: %s", id, o.Detail)
 	}
-	return o
 }
 
 // checkNewFlow checks that a draining server gets no new flows. The ledger calls
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -165,8 +165,8 @@
 	defer t.mu.Unlock()
 	t.documentVersion += 1 + t.rng.IntN(3)
 	routes := []stub.Route{
-		{Address: entryDeskAddress, Service: "entry-desk", Timeout: 1500 * time.Millisecond, Objective: 60 * time.Millisecond},
-		{Address: cataloguePressAddress, Service: "catalogue-press"},
+		{Address: entryDeskAddress, Service: "entry-desk", Kind: "safe", Timeout: 1500 * time.Millisecond, Objective: 60 * time.Millisecond},
+		{Address: cataloguePressAddress, Service: "catalogue-press", Kind: "unsafe"},
 	}
 	if withOptionalRoute {
 		routes = append(routes, stub.Route{Address: optionalAddress, Service: "entry-desk"})
