Compare two attempts of a probe with the reference; timeouts follow handshakes

Cause: spec/reset.pml, the new model of resets, found that a host whose link is busy during the first attempt, and which loses one packet of the second, resets flows of a sound server. Fixed timeouts of 60 ms were too short for a data centre 40 ms away as well. Change: after a first failed connection, two attempts are each compared with the reference. Timeouts are twice those of handshakes with the data centre, that of the reference at most half. Counters of resets and probes are exported. Result: the model has no error, and its two mutations (no reference, one compared attempt) are found.

--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -232,6 +232,8 @@
 		{`lagoonramp_packets_unsent_total`, &c.Unsent},
 		{`lagoonramp_packets_stale_total`, &c.Stale},
 		{`lagoonramp_flows_resent_total`, &c.Resent},
+		{`lagoonramp_flows_reset_total`, &c.Reset},
+		{`lagoonramp_server_probes_total`, &c.Probes},
 		{`lagoonramp_flows_held_total`, &c.Held},
 		{`lagoonramp_flows_refused_total`, &c.Refused},
 		{`lagoonramp_store_calls_total`, &h.storeCalls},
--- a/internal/marked/probe.go
+++ b/internal/marked/probe.go
@@ -10,12 +10,9 @@
 )
 
 const (
-	// probeTimeout is the timeout of each of the two connection attempts of a
-	// probe. There are two, since the packets of one may be lost.
-	probeTimeout = 60 * time.Millisecond
-	// referenceTimeout is the timeout of the connection to the reference. It is
-	// shorter, so that a delay at this host affects the reference first.
-	referenceTimeout = 30 * time.Millisecond
+	// comparedAttempts is the number of connection attempts of a probe that are
+	// compared with the reference, since the packets of one may be lost.
+	comparedAttempts = 2
 	// maxConcurrentProbes limits the sockets of probes.
 	maxConcurrentProbes = 16
 )
@@ -38,19 +35,22 @@
 	}
 }
 
-// probe tries to connect to a server, and the second time also to its reference.
-// A refused connection counts as a failure: the server's process has ended.
+// probe tries to connect to a server. If that fails, it tries again and compares
+// each attempt with a connection to the reference at the same time. A refused
+// connection counts as a failure: the server's process has ended.
 func (t *traffic) probe(p steer.Probe) steer.ProbeResult {
-	if t.connect(p.Server, probeTimeout) {
+	if t.connect(p.Server, p.Timeout) {
 		return steer.ProbeAnswered
 	}
-	reference := make(chan bool, 1)
-	go func() { reference <- t.connect(p.Reference, referenceTimeout) }()
-	if t.connect(p.Server, probeTimeout) {
-		return steer.ProbeAnswered
-	}
-	if !<-reference {
-		return steer.ProbeInconclusive
+	for range comparedAttempts {
+		reference := make(chan bool, 1)
+		go func() { reference <- t.connect(p.Reference, p.ReferenceTimeout) }()
+		if t.connect(p.Server, p.Timeout) {
+			return steer.ProbeAnswered
+		}
+		if !<-reference {
+			return steer.ProbeInconclusive
+		}
 	}
 	return steer.ProbeFailed
 }
--- a/internal/marked/probe_test.go
+++ b/internal/marked/probe_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -44,7 +45,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			traffic := &traffic{clock: newClock()}
-			p := steer.Probe{Server: newProbedServer(t, tt.server), Reference: newProbedServer(t, tt.reference)}
+			p := steer.Probe{
+				Server: newProbedServer(t, tt.server), Reference: newProbedServer(t, tt.reference),
+				Timeout: time.Second, ReferenceTimeout: time.Second / 2,
+			}
 			is.Equal(traffic.probe(p), tt.want)
 		})
 	}
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -39,6 +39,8 @@
 	// answeredProbeInterval is the least time between a successful probe of a
 	// server and the next one.
 	answeredProbeInterval = 2 * time.Second
+	// minReferenceTimeout is the least timeout of a connection to a reference.
+	minReferenceTimeout = 25 * time.Millisecond
 	// minSilentServers is the number of unreachable servers of a data centre from
 	// which on centreProbes more are probed, those that answered last. If all of
 	// these are unreachable too, the data centre is.
@@ -52,6 +54,10 @@
 	// Reference is a server to be probed at the same time. If it is not reached
 	// either, the fault is more likely to be at this host.
 	Reference *fleet.Server
+	// Timeout is the timeout of each connection to the server, and
+	// ReferenceTimeout that of one to the reference. It is at most half as long, so
+	// that a delay at this host affects the reference first.
+	Timeout, ReferenceTimeout time.Duration
 	// StartedAt is when the probe was requested.
 	StartedAt time.Duration
 }
@@ -148,7 +154,10 @@
 		return
 	}
 	h.reachability.probing = true
-	t.newProbes = append(t.newProbes, Probe{Server: s, Reference: reference, StartedAt: now})
+	p := Probe{Server: s, Reference: reference, StartedAt: now}
+	p.ReferenceTimeout = max(minReferenceTimeout, t.estimator(reference.DataCentre).timeout())
+	p.Timeout = 2 * max(p.ReferenceTimeout, t.estimator(s.DataCentre).timeout())
+	t.newProbes = append(t.newProbes, p)
 }
 
 // chooseReference returns the reference for a probe of s: the server that
--- a/pkg/steer/unreachable_test.go
+++ b/pkg/steer/unreachable_test.go
@@ -311,6 +311,28 @@
 	})
 }
 
+// TestProbeTimeoutsFollowHandshakes checks that servers in distant data centres get
+// more time, and always at least twice that of their reference.
+func TestProbeTimeoutsFollowHandshakes(t *testing.T) {
+	for _, distant := range []string{"a", "b"} {
+		is := is.New(t)
+		table := newIdempotentTable("a", "b")
+		for range 50 {
+			table.estimator("a").add(2 * ms)
+			table.estimator("b").add(2 * ms)
+			table.estimator(distant).add(150 * ms)
+		}
+		for m := range uint32(2) {
+			table.requestProbe(time.Second, table.view.ServersByMark[m+1])
+		}
+		for _, p := range table.TakeProbes() {
+			is.True(p.Timeout >= 2*table.estimator(p.Server.DataCentre).timeout())
+			is.True(p.Timeout >= 2*p.ReferenceTimeout)
+			is.True(p.ReferenceTimeout >= table.estimator(p.Reference.DataCentre).timeout())
+		}
+	}
+}
+
 func TestLongFlowsCountByRequest(t *testing.T) {
 	is := is.New(t)
 	table := newIdempotentTable("a")
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -54,4 +54,7 @@
 expect bad mark UNSETTLED
 expect bad mark LATEPIN
 expect bad mark NOPIN
+expect good reset
+expect bad reset NOREFERENCE
+expect bad reset ONCE
 exit "$failed"
