Slots: a doubled reply and a second change of hosts lent a slot twice

Cause: a reply to a borrow request that arrived twice returned its slots while they were in use, and an idle slot that still waited for its former owner was handed over at once when the list of hosts changed again (docs/FINDINGS.md). Change: copies of an accepted reply are ignored; a slot that is not usable yet is not handed over, so that its next owner waits. Result: TestDoubledReplyReturnsNoBorrowedSlot and TestSlotInHandoverIsNotHandedOverAgain failed before.

--- a/pkg/slots/borrow.go
+++ b/pkg/slots/borrow.go
@@ -125,8 +125,11 @@
 }
 
 // receiveReply handles a BorrowReply. It gives the slots of an outdated
-// BorrowReply back.
+// BorrowReply back, and ignores further copies of an accepted one.
 func (p *Pool) receiveReply(now time.Duration, m *Message, out []Message) []Message {
+	if m.Serial == p.acceptedSerial {
+		return out
+	}
 	if m.Serial != p.pendingSerial {
 		if len(m.Slots) > 0 {
 			out = append(out, p.newMessage(Return, m.From, m.Slots...))
@@ -138,6 +141,7 @@
 		return out
 	}
 	p.pendingSerial = 0
+	p.acceptedSerial = m.Serial
 	p.refusals = 0
 	for _, id := range m.Slots {
 		p.borrowed = append(p.borrowed, borrowedSlot{id: id, lender: m.From, borrowedAt: now})
--- a/pkg/slots/owners.go
+++ b/pkg/slots/owners.go
@@ -47,8 +47,9 @@
 // Reconfigure replaces the lists of hosts and servers. The list of hosts does
 // not contain this host while it is leaving. Slots that move to another owner
 // are handed over immediately if they are idle, or when their request ends if
-// they are in use. Lent slots are not handed over, so that the new owner waits
-// for Settings.HandoverTimeout. Reconfigure appends the messages to out and
+// they are in use. Lent slots, and those that are not usable yet because their
+// former owner may use them, are not handed over, so that the new owner waits for
+// Settings.HandoverTimeout. Reconfigure appends the messages to out and
 // returns it.
 func (p *Pool) Reconfigure(now time.Duration, hosts []uint64, servers []Server, out []Message) []Message {
 	formerOwners := p.owners
@@ -64,7 +65,7 @@
 			owned = append(owned, o)
 		case o.state == inUse:
 			p.movedInUse[o.id]++
-		case o.state == idle && owner != 0:
+		case o.state == idle && owner != 0 && now >= o.usableAt:
 			out = append(out, p.newMessage(Handover, owner, o.id))
 		}
 	}
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -57,9 +57,10 @@
 	borrowed []borrowedSlot
 	// otherOwners lists the other hosts that own slots, in ascending order.
 	otherOwners []uint64
-	// pendingSerial is the serial of the pending BorrowRequest, or 0.
-	pendingSerial uint64
-	lastSerial    uint64
+	// pendingSerial is the serial of the pending BorrowRequest, or 0, and
+	// acceptedSerial that of the latest BorrowReply that lent slots.
+	pendingSerial, acceptedSerial uint64
+	lastSerial                    uint64
 	// requestedAt is when the last BorrowRequest was sent, and nextRequestAt
 	// the time before which none is sent.
 	requestedAt   time.Duration
--- a/pkg/slots/pool_test.go
+++ b/pkg/slots/pool_test.go
@@ -220,3 +220,66 @@
 	_, ok = p.Acquire(10*time.Second, srv[0].ID)
 	is.True(ok)
 }
+
+// borrowOne returns a pool that borrows slots, its lender's, and the lender's
+// reply, which the pool has not received yet.
+func borrowOne(t *testing.T) (borrower, lender *Pool, reply Message) {
+	t.Helper()
+	is := is.New(t)
+	ids := hosts(2)
+	borrower, lender = NewPool(1, ids[0], Settings{}), NewPool(1, ids[1], Settings{})
+	borrower.Reconfigure(0, ids, servers(2, 2), nil)
+	lender.Reconfigure(0, ids, servers(2, 2), nil)
+	request := borrower.Borrow(time.Second, 1, nil)
+	is.Equal(len(request), 1)
+	replies := lender.Receive(time.Second, &request[0], 2, nil)
+	is.Equal(len(replies), 1)
+	is.Equal(len(replies[0].Slots), 1)
+	return borrower, lender, replies[0]
+}
+
+// TestDoubledReplyReturnsNoBorrowedSlot guards against a lender that uses a slot
+// which a borrower still uses, because the lender's reply arrived twice.
+func TestDoubledReplyReturnsNoBorrowedSlot(t *testing.T) {
+	is := is.New(t)
+	borrower, lender, reply := borrowOne(t)
+	is.Equal(borrower.Receive(time.Second, &reply, 0, nil), nil)
+	for _, m := range borrower.Receive(time.Second, &reply, 0, nil) {
+		lender.Receive(time.Second, &m, 0, nil)
+	}
+	is.Equal(lender.Total(), 1) // One of its two slots is lent.
+}
+
+func TestOutdatedReplyReturnsSlots(t *testing.T) {
+	is := is.New(t)
+	borrower, lender, reply := borrowOne(t)
+	borrower.Borrow(2*time.Second, 1, nil) // The first request has timed out.
+	for _, m := range borrower.Receive(2*time.Second, &reply, 0, nil) {
+		lender.Receive(2*time.Second, &m, 0, nil)
+	}
+	is.Equal(lender.Total(), 2)
+}
+
+// TestSlotInHandoverIsNotHandedOverAgain guards against a slot that is handed
+// over although its former owner may still use it, because the list of hosts
+// changed twice in a short time.
+func TestSlotInHandoverIsNotHandedOverAgain(t *testing.T) {
+	is := is.New(t)
+	ids := hosts(3)
+	list := servers(6, 1)
+	moved := 0
+	for _, self := range ids {
+		p := NewPool(1, self, Settings{})
+		p.Reconfigure(0, ids[:2], list, nil)
+		first := Owners(1, ids[:2], list)
+		second := Owners(1, ids, list)
+		p.Reconfigure(time.Second, ids, list, nil)
+		for _, m := range p.Reconfigure(time.Second+50*time.Millisecond, ids[:2], list, nil) {
+			for _, id := range m.Slots {
+				moved++
+				is.True(first[id] == self || second[id] != self) // Its former owner has not handed it over.
+			}
+		}
+	}
+	t.Logf("%d slots handed over", moved)
+}
