Write a host's started key after an outage of the platform

Change: the key is written when the platform answers and does not have it; until then the host tries each second.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -262,3 +262,21 @@
 	eventually(t, "revision 3 is in force", func() bool { return h.Status().Revision == 3 })
 	is.True(h.Status().Services[0].Servers[0].Quarantined)
 }
+
+// TestStartedKeyIsWrittenAfterOutage guards against a restart that is not
+// recognised, after which a keyed request could run twice: a host that started
+// while the platform was down must write its key once the platform is back.
+func TestStartedKeyIsWrittenAfterOutage(t *testing.T) {
+	is := is.New(t)
+	p := fakes.NewPlatform()
+	p.SetFaults(fakes.PlatformFaults{Down: true})
+	h := startHost(t, "h1", p, nil)
+	eventually(t, "the platform is called", func() bool { return p.CallCount() > 0 })
+	time.Sleep(200 * time.Millisecond)
+	p.SetFaults(fakes.PlatformFaults{})
+	eventually(t, "the key is written", func() bool {
+		v, err := h.store.Get(context.Background(), startedKeyPrefix+"h1")
+		return err == nil && v.Version > 0
+	})
+	is.True(h.recordsLost.Load()) // A former process may have run requests.
+}
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -13,6 +13,9 @@
 	// startedKeyPrefix is the prefix of the leased keys that record that a host
 	// was alive within the window of idempotency keys.
 	startedKeyPrefix = "lagoonramp/started/"
+	// startedKeyRetryInterval is the interval of attempts to write the key while the
+	// platform does not answer.
+	startedKeyRetryInterval = time.Second
 	// hostListInterval is the interval at which a watcher reads the platform's
 	// list of hosts.
 	hostListInterval = 10 * time.Second
@@ -25,7 +28,7 @@
 func (h *Host) startedKeyLoop(ctx context.Context) {
 	window := h.deduplicator.Window()
 	key := startedKeyPrefix + h.settings.Name
-	version, err := h.store.CompareAndSwap(ctx, key, []byte(h.started.Format(time.RFC3339Nano)), 0, window)
+	version, err := h.writeStartedKey(ctx, key)
 	if err == nil {
 		// No host of this name was alive within the window.
 		h.recordsLost.Store(false)
@@ -33,16 +36,35 @@
 	}
 	for ctx.Err() == nil {
 		if version == 0 {
-			if v, err := h.store.Get(ctx, key); err == nil {
-				version = v.Version
-			}
+			version = h.adoptStartedKey(ctx, key)
 		} else if err := h.store.RenewLease(ctx, key, version, window); errors.Is(err, store.ErrLeaseExpired) {
-			version, _ = h.store.CompareAndSwap(ctx, key, []byte(h.started.Format(time.RFC3339Nano)), 0, window)
+			version, _ = h.writeStartedKey(ctx, key)
+		}
+		if version == 0 {
+			sleep(ctx, startedKeyRetryInterval)
+			continue
 		}
 		sleep(ctx, window/4)
 	}
 }
 
+// writeStartedKey writes the key of this host if the platform does not have it,
+// and returns its version.
+func (h *Host) writeStartedKey(ctx context.Context, key string) (uint64, error) {
+	return h.store.CompareAndSwap(ctx, key, []byte(h.started.Format(time.RFC3339Nano)), 0, h.deduplicator.Window())
+}
+
+// adoptStartedKey returns the version of the key of this host, which it writes if
+// the platform does not have it, or 0 if the platform does not answer.
+func (h *Host) adoptStartedKey(ctx context.Context, key string) uint64 {
+	v, err := h.store.Get(ctx, key)
+	if err != nil || v.Version != 0 {
+		return v.Version
+	}
+	version, _ := h.writeStartedKey(ctx, key)
+	return version
+}
+
 // handOverRecords sends the idempotency records to the hosts that are the replicas
 // of their keys after this host has left. If all are accepted, no records are lost
 // and the started key is deleted.
