A connection to a server for each HTTP request

Cause: a server that sends a second copy of an answer late, when the next request is on the connection, made that request's caller get an answer that was not its own: shown by TestLateSecondCopyReachesNoOtherCaller, which failed. Idempotent requests went over pooled connections. Ruled out: a check for unread bytes before a connection is used again, which a copy that arrives later passes. Change: connections to servers are not used again. The server is not told to close them, since net/http's server then leaves out the Connection header of answers.

--- a/internal/httplb/forward.go
+++ b/internal/httplb/forward.go
@@ -63,7 +63,7 @@
 	defer stop()
 	var maybeSent atomic.Bool
 	serverReq := x.newServerRequest(withTrace(ctx, w, &maybeSent), r, body, g.server.Address)
-	resp, err := s.transportFor(r.Method).RoundTrip(serverReq)
+	resp, err := s.transport.RoundTrip(serverReq)
 	if err != nil {
 		callerGone := r.Context().Err() != nil
 		if callerGone || isBodyTooLarge(err) {
@@ -85,16 +85,6 @@
 	return x.relayAnswer(cancel, w, resp, func() { release(resp.StatusCode == http.StatusBadGateway) })
 }
 
-// transportFor returns the transport for a request. A request that must not run
-// twice is never sent over a pooled connection: the server may have closed it,
-// which would leave unclear whether the request has run.
-func (s *Service) transportFor(method string) http.RoundTripper {
-	if retry.Idempotent(method) {
-		return s.pooledTransport
-	}
-	return s.singleUseTransport
-}
-
 // newServerRequest returns the request to send to the server at address, with
 // the remaining time and the caller's address in its headers.
 func (x *exchange) newServerRequest(ctx context.Context, r *http.Request, body io.ReadCloser, address string) *http.Request {
--- a/internal/httplb/service.go
+++ b/internal/httplb/service.go
@@ -48,11 +48,12 @@
 	dispatcher *Dispatcher
 	server     *http.Server
 	listener   *connListener
-	// pooledTransport reuses connections to servers. singleUseTransport opens a
-	// connection for each request.
-	pooledTransport, singleUseTransport *http.Transport
-	cancel                              context.CancelFunc
-	draining                            atomic.Bool
+	// transport opens a connection to a server for each request. A connection that
+	// is used again may carry a second copy of an earlier answer, and the server may
+	// have closed it, which would leave unclear whether the request has run.
+	transport *http.Transport
+	cancel    context.CancelFunc
+	draining  atomic.Bool
 	// detachedRequests counts the running requests that continue if their caller
 	// disconnects.
 	detachedRequests track.Counter
@@ -64,15 +65,12 @@
 	s.config.Store(config)
 	s.dispatcher = NewDispatcher(config, settings.Self, settings.Policy, settings.Events, settings.SendSlotMessage)
 	dialer := &net.Dialer{Timeout: dialTimeout, LocalAddr: settings.LocalAddr}
-	s.pooledTransport = &http.Transport{
+	s.transport = &http.Transport{
 		DialContext:           dialer.DialContext,
-		MaxIdleConnsPerHost:   maxIdleConnsPerServer,
-		IdleConnTimeout:       idleConnTimeout,
+		MaxIdleConnsPerHost:   -1, // None.
 		DisableCompression:    true,
 		ExpectContinueTimeout: time.Second,
 	}
-	s.singleUseTransport = s.pooledTransport.Clone()
-	s.singleUseTransport.DisableKeepAlives = true
 	s.server = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -128,7 +126,6 @@
 	err = errors.Join(err, s.detachedRequests.Wait(ctx))
 	s.cancel()
 	_ = s.server.Close()
-	s.pooledTransport.CloseIdleConnections()
 	return err
 }
 
