--- a/internal/httplb/service.go
+++ b/internal/httplb/service.go
@@ -22,6 +22,11 @@
 	maxHeaderBytes        = 64 << 10
 	dialTimeout           = 2 * time.Second
 	maxIdleConnsPerServer = 64
+	// drainIdleTime is how long an open connection without requests is kept while
+	// the service drains, and drainPollInterval the interval of checks for open
+	// connections.
+	drainIdleTime     = time.Second
+	drainPollInterval = 10 * time.Millisecond
 )
 
 // Settings configures a Service.
@@ -54,6 +59,8 @@
 	transport *http.Transport
 	cancel    context.CancelFunc
 	draining  atomic.Bool
+	// openConns is the number of open connections of callers.
+	openConns atomic.Int64
 	// detachedRequests counts the running requests that continue if their caller
 	// disconnects.
 	detachedRequests track.Counter
@@ -77,6 +84,7 @@
 		IdleTimeout:       idleConnTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          discardLogger(),
+		ConnState:         s.countConn,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerContextKey{}, c.(*callerConn).caller)
 		},
@@ -117,11 +125,25 @@
 	<-c.closed
 }
 
-// Drain waits for the running requests and closes the service. Requests on open
-// connections are still served until their connection is idle. Drain returns an
-// error if ctx is done before all requests have ended.
+// countConn counts the open connections of callers.
+func (s *Service) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.openConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.openConns.Add(-1)
+	}
+}
+
+// Drain waits for the running requests and closes the service. Each open
+// connection is closed after its next answer, which announces that, or when it has
+// been idle for drainIdleTime: a request may be on its way. Drain returns an error
+// if ctx is done before all requests have ended.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	for end := time.Now().Add(drainIdleTime); ctx.Err() == nil && s.openConns.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
 	err := s.server.Shutdown(ctx)
 	err = errors.Join(err, s.detachedRequests.Wait(ctx))
 	s.cancel()
