A borrowed slot is not used after its lease

Cause: a host that was paused for longer than the lease of a borrowed slot used it afterwards, although its lender had reclaimed it. Change: the borrower counts the lease from its own request or renewal, which is before the lender's, and neither uses, renews nor returns the slot after it. Result: TestPausedBorrowerUsesNoExpiredSlot failed before.

--- a/pkg/slots/borrow.go
+++ b/pkg/slots/borrow.go
@@ -144,7 +144,7 @@
 	p.acceptedSerial = m.Serial
 	p.refusals = 0
 	for _, id := range m.Slots {
-		p.borrowed = append(p.borrowed, borrowedSlot{id: id, lender: m.From, borrowedAt: now})
+		p.borrowed = append(p.borrowed, borrowedSlot{id: id, lender: m.From, borrowedAt: now, renewedAt: p.requestedAt})
 	}
 	return out
 }
@@ -155,7 +155,13 @@
 // (hasWaiting).
 func (p *Pool) Tick(now time.Duration, hasWaiting bool, out []Message) []Message {
 	p.borrowed = slices.DeleteFunc(p.borrowed, func(s borrowedSlot) bool {
-		if s.inUse || hasWaiting && now-s.borrowedAt < p.settings.MaxBorrowTime {
+		if s.inUse {
+			return false
+		}
+		if p.isExpired(now, &s) {
+			return true // The lender has reclaimed it.
+		}
+		if hasWaiting && now-s.borrowedAt < p.settings.MaxBorrowTime {
 			return false
 		}
 		out = append(out, p.newMessage(Return, s.lender, s.id))
@@ -171,14 +177,19 @@
 		return out
 	}
 	p.nextRenewAt = now + p.settings.RenewInterval
-	return p.appendRenewals(out)
+	return p.appendRenewals(now, out)
 }
 
-// appendRenewals appends one Renew for each lender, with all slots borrowed from
-// it.
-func (p *Pool) appendRenewals(out []Message) []Message {
+// appendRenewals appends one Renew for each lender, with all slots borrowed from it
+// whose leases have not expired.
+func (p *Pool) appendRenewals(now time.Duration, out []Message) []Message {
 	first := len(out)
-	for _, s := range p.borrowed {
+	for j := range p.borrowed {
+		s := &p.borrowed[j]
+		if p.isExpired(now, s) {
+			continue
+		}
+		s.renewedAt = now
 		i := slices.IndexFunc(out[first:], func(m Message) bool { return m.To == s.lender })
 		if i < 0 {
 			out = append(out, p.newMessage(Renew, s.lender, s.id))
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -38,7 +38,10 @@
 	id         ID
 	lender     uint64
 	borrowedAt time.Duration
-	inUse      bool
+	// renewedAt is when the slot was requested or its lease last renewed. The
+	// lender counts the lease from a later time, the arrival of the message.
+	renewedAt time.Duration
+	inUse     bool
 }
 
 // Slot is an acquired slot.
@@ -155,7 +158,7 @@
 	}
 	flush()
 	for i := range p.borrowed {
-		if !p.borrowed[i].inUse {
+		if s := &p.borrowed[i]; !s.inUse && !p.isExpired(now, s) {
 			yield(p.borrowed[i].id.Server, 1)
 		}
 	}
@@ -173,7 +176,7 @@
 	}
 	for i := range p.borrowed {
 		borrowed := &p.borrowed[i]
-		if borrowed.id.Server == server && !borrowed.inUse {
+		if borrowed.id.Server == server && !borrowed.inUse && !p.isExpired(now, borrowed) {
 			borrowed.inUse = true
 			return Slot{ID: borrowed.id, Lender: borrowed.lender}, true
 		}
@@ -181,6 +184,12 @@
 	return Slot{}, false
 }
 
+// isExpired reports whether the lease of a borrowed slot has expired, because this
+// host was paused for too long to renew it.
+func (p *Pool) isExpired(now time.Duration, s *borrowedSlot) bool {
+	return now-s.renewedAt >= leaseIntervals*p.settings.RenewInterval
+}
+
 // Release frees a slot after its request has ended. A borrowed slot returns to
 // its lender, unless requests wait at this host (hasWaiting) and it was
 // borrowed less than Settings.MaxBorrowTime ago. Release appends messages for
@@ -195,10 +204,14 @@
 			continue
 		}
 		borrowed.inUse = false
-		if hasWaiting && now-borrowed.borrowedAt < p.settings.MaxBorrowTime {
+		expired := p.isExpired(now, borrowed)
+		if hasWaiting && !expired && now-borrowed.borrowedAt < p.settings.MaxBorrowTime {
 			return out
 		}
 		p.borrowed = slices.Delete(p.borrowed, i, i+1)
+		if expired {
+			return out // The lender has reclaimed it.
+		}
 		return append(out, p.newMessage(Return, s.Lender, s.ID))
 	}
 	return out
--- a/pkg/slots/pool_test.go
+++ b/pkg/slots/pool_test.go
@@ -283,3 +283,24 @@
 	}
 	t.Logf("%d slots handed over", moved)
 }
+
+// TestPausedBorrowerUsesNoExpiredSlot guards against a host that was paused for
+// longer than a lease and then uses a slot that its lender has reclaimed.
+func TestPausedBorrowerUsesNoExpiredSlot(t *testing.T) {
+	is := is.New(t)
+	borrower, lender, reply := borrowOne(t)
+	borrower.Receive(time.Second, &reply, 0, nil)
+	server := reply.Slots[0].Server
+	slot, ok := borrower.Acquire(time.Second, server)
+	for ok && slot.Lender == 0 { // Its own slots go first, and stay in use.
+		slot, ok = borrower.Acquire(time.Second, server)
+	}
+	is.True(ok)
+	is.Equal(borrower.Release(time.Second, slot, true, nil), nil) // It is kept while requests wait.
+	expired := time.Second + leaseIntervals*defaultRenewInterval + time.Millisecond
+	lender.Tick(expired, false, nil)
+	is.Equal(lender.Total(), 2) // The lender has reclaimed the slot.
+	_, ok = borrower.Acquire(expired, server)
+	is.True(!ok)
+	borrower.EachFree(expired, func(free uint64, _ int) { is.True(free != server) })
+}
