Probe suspect servers with one connection

Change: a suspect server is probed with one connection without a reference, whose failure resets nothing; only servers with open flows that may be reset get the compared probe, and do not wait for the simple one's interval.

--- a/internal/marked/probe.go
+++ b/internal/marked/probe.go
@@ -35,13 +35,17 @@
 	}
 }
 
-// probe tries to connect to a server. If that fails, it tries again and compares
-// each attempt with a connection to the reference at the same time. A refused
+// probe tries to connect to a server. If that fails and there is a reference, it
+// tries again and compares each attempt with a connection to the reference at the
+// same time. A refused
 // connection counts as a failure: the server's process has ended.
 func (t *traffic) probe(p steer.Probe) steer.ProbeResult {
 	if t.connect(p.Server, p.Timeout) {
 		return steer.ProbeAnswered
 	}
+	if p.Reference == nil {
+		return steer.ProbeInconclusive
+	}
 	for range comparedAttempts {
 		reference := make(chan bool, 1)
 		go func() { reference <- t.connect(p.Reference, p.ReferenceTimeout) }()
--- a/internal/marked/probe_test.go
+++ b/internal/marked/probe_test.go
@@ -50,6 +50,11 @@
 				Timeout: time.Second, ReferenceTimeout: time.Second / 2,
 			}
 			is.Equal(traffic.probe(p), tt.want)
+			p.Reference = nil
+			if tt.want == steer.ProbeFailed {
+				tt.want = steer.ProbeInconclusive
+			}
+			is.Equal(traffic.probe(p), tt.want)
 		})
 	}
 }
--- a/pkg/steer/choose.go
+++ b/pkg/steer/choose.go
@@ -104,7 +104,7 @@
 		if health.reachability.answeredAt > health.lastUnansweredAt {
 			return probeCost
 		}
-		t.requestProbe(now, s)
+		t.requestSimpleProbe(now, s)
 	}
 	if health.isSuspect() || t.isUnreachable(now, s) {
 		return suspectCost + float64(health.lastUnansweredAt)/float64(time.Second)
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -32,8 +32,8 @@
 	// probe. Flows that are still open continue after that.
 	unreachableHold = 2 * time.Second
 	// initialProbeInterval is the least time between two probes of a server. It
-	// doubles with each failed probe up to maxProbeInterval, which must be less
-	// than unreachableHold.
+	// doubles with each probe that is not answered up to maxProbeInterval, which
+	// must be less than unreachableHold.
 	initialProbeInterval = 400 * time.Millisecond
 	maxProbeInterval     = 1600 * time.Millisecond
 	// answeredProbeInterval is the least time between a successful probe of a
@@ -52,7 +52,8 @@
 type Probe struct {
 	Server *fleet.Server
 	// Reference is a server to be probed at the same time. If it is not reached
-	// either, the fault is more likely to be at this host.
+	// either, the fault is more likely to be at this host. If Reference is nil, one
+	// connection is enough, and its failure is inconclusive: no flow depends on it.
 	Reference *fleet.Server
 	// Timeout is the timeout of each connection to the server, and
 	// ReferenceTimeout that of one to the reference. It is at most half as long, so
@@ -73,16 +74,17 @@
 
 // reachability is the state of the probes of a server.
 type reachability struct {
-	// probing is set while a probe is pending, and failedProbes counts the
-	// failed probes since the latest answer.
-	probing      bool
-	failedProbes int
-	nextProbeAt  time.Duration
+	// probing is set while a probe is pending, and unansweredProbes counts the
+	// probes since the latest answer.
+	probing          bool
+	unansweredProbes int
+	// nextProbeAt is the earliest time of the next probe with a reference, and
+	// nextSimpleProbeAt that of the next one without.
+	nextProbeAt, nextSimpleProbeAt time.Duration
 	// answeredAt is when a probe was last answered.
 	answeredAt time.Duration
 	// silentSince is when the first packet was sent that the server did not
-	// answer before the latest failed probe. It is valid if failedProbes is
-	// positive.
+	// answer before the latest failed probe, or 0.
 	silentSince time.Duration
 	// unreachableUntil is when the server no longer counts as unreachable, or 0.
 	unreachableUntil time.Duration
@@ -90,7 +92,7 @@
 
 // recordReachable records that the server is reachable.
 func (r *reachability) recordReachable() {
-	r.failedProbes, r.unreachableUntil, r.silentSince = 0, 0, 0
+	r.unansweredProbes, r.unreachableUntil, r.silentSince = 0, 0, 0
 }
 
 // centreReachability is the state of a data centre.
@@ -142,21 +144,33 @@
 	t.requestProbe(now, s)
 }
 
-// requestProbe requests a probe of a server unless one is pending or the latest
-// one was recent.
+// requestProbe requests a probe of a server that shows whether its flows are to be
+// reset, unless a probe is pending or the latest one was recent.
 func (t *Table) requestProbe(now time.Duration, s *fleet.Server) {
 	h := t.health[s.Mark]
 	if h == nil || h.reachability.probing || now < h.reachability.nextProbeAt {
 		return
 	}
-	reference := t.chooseReference(now, s)
-	if reference == nil {
-		return
+	if reference := t.chooseReference(now, s); reference != nil {
+		t.addProbe(now, s, reference)
+	}
+}
+
+// requestSimpleProbe requests a probe that shows whether a suspect server can be
+// reached again, unless a probe is pending or the latest one was recent.
+func (t *Table) requestSimpleProbe(now time.Duration, s *fleet.Server) {
+	if r := &t.health[s.Mark].reachability; !r.probing && now >= r.nextSimpleProbeAt {
+		t.addProbe(now, s, nil)
+	}
+}
+
+func (t *Table) addProbe(now time.Duration, s, reference *fleet.Server) {
+	p := Probe{Server: s, Reference: reference, StartedAt: now, ReferenceTimeout: minReferenceTimeout}
+	if reference != nil {
+		p.ReferenceTimeout = max(p.ReferenceTimeout, t.estimator(reference.DataCentre).timeout())
 	}
-	h.reachability.probing = true
-	p := Probe{Server: s, Reference: reference, StartedAt: now}
-	p.ReferenceTimeout = max(minReferenceTimeout, t.estimator(reference.DataCentre).timeout())
 	p.Timeout = 2 * max(p.ReferenceTimeout, t.estimator(s.DataCentre).timeout())
+	t.health[s.Mark].reachability.probing = true
 	t.newProbes = append(t.newProbes, p)
 }
 
@@ -205,8 +219,8 @@
 
 // The results of probes.
 const (
-	// ProbeInconclusive means that neither the server nor the reference was
-	// reached, or that the host was paused.
+	// ProbeInconclusive means that neither the server nor the reference, if any,
+	// was reached, or that the host was paused.
 	ProbeInconclusive ProbeResult = iota
 	// ProbeAnswered means that the server accepted a connection.
 	ProbeAnswered
@@ -229,13 +243,18 @@
 	}
 	r := &h.reachability
 	r.probing = false
+	r.unansweredProbes++
+	r.nextSimpleProbeAt = now + min(initialProbeInterval<<min(r.unansweredProbes-1, 10), maxProbeInterval)
+	if p.Reference != nil {
+		r.nextProbeAt = r.nextSimpleProbeAt
+	}
 	switch {
 	case result == ProbeInconclusive:
-		r.nextProbeAt = now + initialProbeInterval
 	case result == ProbeAnswered || h.lastAnswerAt > p.StartedAt:
 		r.recordReachable()
 		r.answeredAt = now
 		r.nextProbeAt = now + answeredProbeInterval
+		r.nextSimpleProbeAt = r.nextProbeAt
 		t.centre(p.Server.DataCentre).recordReachable(now)
 	default:
 		t.recordUnreachable(now, p, h)
@@ -249,8 +268,6 @@
 	if r.silentSince == 0 {
 		r.silentSince = p.StartedAt
 	}
-	r.failedProbes++
-	r.nextProbeAt = now + min(initialProbeInterval<<min(r.failedProbes-1, 10), maxProbeInterval)
 	r.unreachableUntil = now + unreachableHold
 	h.recordUnanswered(now, p.StartedAt)
 	t.resetFlows = append(t.resetFlows, resetScope{mark: p.Server.Mark})
--- a/pkg/steer/unreachable_test.go
+++ b/pkg/steer/unreachable_test.go
@@ -311,6 +311,21 @@
 	})
 }
 
+// TestOpenFlowDoesNotWaitForSuspectServer checks that callers on open flows to a
+// suspect server do not wait because a probe without a reference was recent.
+func TestOpenFlowDoesNotWaitForSuspectServer(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a", "b")
+	m := table.testOpenTo(0, 1)
+	table.health[m].recordUnanswered(100*ms, 50*ms)
+	table.requestSimpleProbe(time.Second, table.view.ServersByMark[m])
+	is.Equal(table.testProbeAll(1050*ms, ProbeInconclusive), []uint32{m})
+	table.testRequest(time.Second, 1, m, 1)
+	table.testRequest(1200*ms, 1, m, 1)
+	is.Equal(table.testProbeAll(1300*ms, ProbeFailed), []uint32{m})
+	is.Equal(len(table.testResets(1300*ms)), 1)
+}
+
 // TestProbeTimeoutsFollowHandshakes checks that servers in distant data centres get
 // more time, and always at least twice that of their reference.
 func TestProbeTimeoutsFollowHandshakes(t *testing.T) {
