Queue the flows to be reset once a probe has failed

Cause: each reset searched all flows again, which is quadratic in the flows of an unreachable server, and each unanswered SYN searched them all. Change: the flows are queued once; open flows are searched only if the server may be probed. The traffic loop's steps are split.

--- a/internal/marked/probe.go
+++ b/internal/marked/probe.go
@@ -37,8 +37,8 @@
 
 // probe tries to connect to a server. If that fails and there is a reference, it
 // tries again and compares each attempt with a connection to the reference at the
-// same time. A refused
-// connection counts as a failure: the server's process has ended.
+// same time. A refused connection counts as a failure: the server's process has
+// ended.
 func (t *traffic) probe(p steer.Probe) steer.ProbeResult {
 	if t.connect(p.Server, p.Timeout) {
 		return steer.ProbeAnswered
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -261,15 +261,20 @@
 	}
 }
 
-// updateTable passes the received pins, the latest view and the times of
-// expected rerouting to the table.
+// updateTable passes the received pins, the times of expected rerouting, the latest
+// view and the results of probes to the table.
 func (t *traffic) updateTable(now time.Duration) {
 	t.exchangePins(now)
 	if t.leaving.Load() {
 		t.table.ExpectRerouting(math.MaxInt64)
 	}
 	t.table.ExpectRerouting(time.Duration(t.reroutingEnd.Load()))
-	defer t.recordProbes(now)
+	t.updateView(now)
+	t.recordProbes(now)
+}
+
+// updateView passes the latest view to the table.
+func (t *traffic) updateView(now time.Duration) {
 	p := t.published.Load()
 	if p == t.current {
 		return
@@ -395,10 +400,13 @@
 	}
 	now := t.readClock()
 	t.updateTable(now)
-	defer func() {
-		t.resetUnreachable(now)
-		t.startProbes()
-	}()
+	t.sendDueSYNs(now)
+	t.resetUnreachable(now)
+	t.startProbes()
+}
+
+// sendDueSYNs sends or refuses the stored SYNs that are due at now.
+func (t *traffic) sendDueSYNs(now time.Duration) {
 	frameLength := t.codec.FrameLength()
 	for {
 		r, ok := t.table.NextResend(now)
--- a/pkg/steer/doc.go
+++ b/pkg/steer/doc.go
@@ -21,6 +21,9 @@
 // above the limit are held in a queue and released newest first; those that can
 // no longer be served in time are refused.
 //
+// Open flows of idempotent routes are reset while their server is unreachable. The
+// application probes the servers that the Table names.
+//
 // A Table is not safe for concurrent use. Times are durations since an epoch that
 // the application chooses.
 package steer
--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -95,7 +95,7 @@
 // of a flow, if other callers wait for that server on open flows.
 func (t *Table) recordUnansweredSYN(now time.Duration, f *flow) {
 	s := t.view.ServersByMark[f.triedMarks[f.tries-1]]
-	if s != nil && t.hasResettable(s.Mark) {
+	if s != nil && t.mayProbe(now, s) && t.hasResettable(s.Mark) {
 		t.recordSilence(now, f.sentAt, s)
 	}
 }
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -65,10 +65,10 @@
 	timers          timerHeap
 	// centres holds the reachability of each data centre.
 	centres map[string]*centreReachability
-	// newProbes holds the probes that TakeProbes returns next, and resetFlows
-	// selects the flows that NextReset returns next.
-	newProbes  []Probe
-	resetFlows []resetScope
+	// newProbes holds the probes that TakeProbes returns next, and pendingResets
+	// the flows that NextReset returns next.
+	newProbes     []Probe
+	pendingResets []pendingReset
 	// newPins holds the pins that TakePins returns next.
 	newPins []Pin
 	// limitChanges holds the changes that TakeLimitChanges returns next.
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -144,11 +144,17 @@
 	t.requestProbe(now, s)
 }
 
+// mayProbe reports whether a server may be probed with a reference: no probe is
+// pending, and the latest one was not recent.
+func (t *Table) mayProbe(now time.Duration, s *fleet.Server) bool {
+	h := t.health[s.Mark]
+	return h != nil && !h.reachability.probing && now >= h.reachability.nextProbeAt
+}
+
 // requestProbe requests a probe of a server that shows whether its flows are to be
-// reset, unless a probe is pending or the latest one was recent.
+// reset, if it may be probed.
 func (t *Table) requestProbe(now time.Duration, s *fleet.Server) {
-	h := t.health[s.Mark]
-	if h == nil || h.reachability.probing || now < h.reachability.nextProbeAt {
+	if !t.mayProbe(now, s) {
 		return
 	}
 	if reference := t.chooseReference(now, s); reference != nil {
@@ -270,7 +276,7 @@
 	}
 	r.unreachableUntil = now + unreachableHold
 	h.recordUnanswered(now, p.StartedAt)
-	t.resetFlows = append(t.resetFlows, resetScope{mark: p.Server.Mark})
+	t.queueResets(func(s *fleet.Server) bool { return s.Mark == p.Server.Mark })
 	t.updateCentre(now, p.Server.DataCentre)
 }
 
@@ -298,7 +304,7 @@
 	}
 	if len(others) == 0 && silent > 1 || silent >= minSilentServers+centreProbes {
 		if now >= c.unreachableUntil {
-			t.resetFlows = append(t.resetFlows, resetScope{dataCentre: dataCentre})
+			t.queueResets(func(s *fleet.Server) bool { return s.DataCentre == dataCentre })
 		}
 		c.unreachableUntil = now + unreachableHold
 		return
@@ -311,38 +317,43 @@
 	}
 }
 
-// resetScope selects flows to be reset: those of the server with a mark or, if
-// that is 0, those of the servers of a data centre.
-type resetScope struct {
-	mark       uint32
-	dataCentre string
+// pendingReset refers to a flow to be reset. It is stale if the generation of the
+// flow has changed.
+type pendingReset struct {
+	flow       *flow
+	generation uint32
+}
+
+// queueResets queues the flows whose callers wait for a server that include
+// selects.
+func (t *Table) queueResets(include func(*fleet.Server) bool) {
+	for _, f := range t.flows {
+		if s := t.view.ServersByMark[f.serverMark()]; s != nil && f.needsServer() && include(s) {
+			t.pendingResets = append(t.pendingResets, pendingReset{flow: f, generation: f.generation})
+		}
+	}
 }
 
 // NextReset returns the next open flow to be reset because its server has
 // become unreachable; ok is false if there is none.
 func (t *Table) NextReset(now time.Duration) (r Reset, ok bool) {
-	for len(t.resetFlows) > 0 {
-		scope := t.resetFlows[0]
-		for _, f := range t.flows {
-			s := t.view.ServersByMark[f.serverMark()]
-			if s == nil || !scope.includes(s) || !f.needsServer() || !t.canReset(now, f.key, s) {
-				continue
-			}
-			t.recordReset(f)
-			return Reset{Key: f.key, Sequence: f.lastAck, Server: s}, true
+	for len(t.pendingResets) > 0 {
+		last := len(t.pendingResets) - 1
+		f, generation := t.pendingResets[last].flow, t.pendingResets[last].generation
+		t.pendingResets = t.pendingResets[:last]
+		if f.generation != generation || !f.needsServer() {
+			continue
+		}
+		s := t.view.ServersByMark[f.serverMark()]
+		if s == nil || !t.canReset(now, f.key, s) {
+			continue
 		}
-		t.resetFlows = t.resetFlows[1:]
+		t.recordReset(f)
+		return Reset{Key: f.key, Sequence: f.lastAck, Server: s}, true
 	}
 	return Reset{}, false
 }
 
-func (c resetScope) includes(s *fleet.Server) bool {
-	if c.mark != 0 {
-		return s.Mark == c.mark
-	}
-	return s.DataCentre == c.dataCentre
-}
-
 // canReset reports whether an open flow to a server may be reset: the server is
 // unreachable, the caller may repeat its request, and another server can serve
 // it. If no server is reachable, it is more likely that this host is cut off.
--- a/pkg/steer/unreachable_test.go
+++ b/pkg/steer/unreachable_test.go
@@ -80,6 +80,16 @@
 	}
 }
 
+func TestReusedPortIsNotReset(t *testing.T) {
+	is := is.New(t)
+	table := newIdempotentTable("a", "a", "b")
+	openSilent(table)
+	table.testProbeAll(1300*ms, ProbeFailed)
+	v := table.HandlePacket(1300*ms, &Packet{Key: key(1), Sequence: 77, SYN: true}, rawSYN)
+	is.Equal(v.Action, Forward) // The caller has given the flow up.
+	is.Equal(table.testResets(1300*ms), nil)
+}
+
 func TestLostResetIsRepeated(t *testing.T) {
 	is := is.New(t)
 	table := newIdempotentTable("a", "a", "b")
