--- a/review/standin/neighbours.go
+++ b/review/standin/neighbours.go
@@ -59,7 +59,7 @@
 	defer builds.close()
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	group.Go(func() { b.slowPages(pages, 120, stop) })
+	group.Go(func() { b.slowPages(pages, 200, stop) })
 	// All hosts and servers have been running without disturbance for longer than
 	// StabilityMs when the servers crash.
 	time.Sleep(8 * time.Second)
