--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -47,6 +47,9 @@
 	router  *router
 	hosts   []*host
 	version int
+	// latency is that of the way between requesters and routers and from servers
+	// to requesters.
+	latency time.Duration
 
 	mu      sync.Mutex
 	servers map[netip.Addr]*server
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,12 @@
 // cases maps names to the cases. A case returns the number of breaches.
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"otherWriter":       otherWriter,
+	"rollingTerm":       rollingTerm,
+	"pairReturn":        pairReturn,
+	"rollThree":         rollThree,
+	"hangingStop":       hangingStop,
+	"malformedPeer":     malformedPeer,
+	"loneReturn":        loneReturn,
 	"loneHost":          loneHost,
 	"markCollision":     markCollision,
 	"configStorm":       configStorm,
--- a/review/standin/pauses.go
+++ b/review/standin/pauses.go
@@ -34,7 +34,8 @@
 	// perSecond and duration say how many flows are opened.
 	perSecond int
 	duration  time.Duration
-	// loseEvery is the number of flows of which one loses the first SYN+ACK.
+	// loseEvery is the number of flows of which one loses the first SYN+ACK, or 0
+	// if none does.
 	loseEvery int
 	pause     time.Duration
 }
@@ -51,7 +52,7 @@
 		group.Go(func() {
 			f := r.newFlow(fmt.Sprintf("f%d", i+1), submitRoute.address)
 			defer f.release()
-			f.loseFirstReply = i%s.loseEvery == s.loseEvery-1
+			f.loseFirstReply = s.loseEvery > 0 && i%s.loseEvery == s.loseEvery-1
 			if res := f.openFlow(); res != answered {
 				b.record.line("flow %s: %s", f.name, res)
 				return
@@ -164,3 +165,32 @@
 	group.Wait()
 	return broken, nil
 }
+
+const (
+	// requesterLatency is that of the sheet: 3 ms to requesters.
+	requesterLatency = 3 * time.Millisecond
+	// restarts is how often the host is restarted, restartInterval apart.
+	restarts        = 4
+	restartInterval = 6 * time.Second
+)
+
+// loneReturn restarts the only host of a zone a few times. No datagram is lost.
+func loneReturn(b *bed, trouble bool) (int, error) {
+	b.latency = requesterLatency
+	if err := startHCMFA(b); err != nil {
+		return 0, err
+	}
+	r, err := b.newRequester("asahikawa", 1)
+	if err != nil {
+		return 0, err
+	}
+	defer r.close()
+	time.Sleep(2 * time.Second)
+	last := b.hosts[len(b.hosts)-1]
+	if trouble {
+		for i := range restarts {
+			time.AfterFunc(time.Second+time.Duration(i)*restartInterval, last.restart)
+		}
+	}
+	return pausing{perSecond: 150, duration: restarts * restartInterval, pause: pauseDuration}.run(b, r), nil
+}
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -151,7 +151,12 @@
 	if flags&flagSYN != 0 {
 		p.echo = 0
 	}
-	_, _ = f.r.conn.WriteToUDPAddrPort(p.encode(), h.packets)
+	if d := f.r.bed.latency; d > 0 {
+		encoded := p.encode()
+		time.AfterFunc(d, func() { f.r.deliver(encoded, f.local, f.route) })
+	} else {
+		_, _ = f.r.conn.WriteToUDPAddrPort(p.encode(), h.packets)
+	}
 	f.packetsSent++
 	if f.firstHost == "" {
 		f.firstHost = h.name
@@ -160,6 +165,25 @@
 	return h
 }
 
+// deliver forwards a packet that has reached the routers after the latency.
+func (r *requester) deliver(encoded []byte, local, route netip.AddrPort) {
+	if h := r.bed.router.route(r.zone, local, route); h != nil {
+		_, _ = r.conn.WriteToUDPAddrPort(encoded, h.packets)
+	}
+}
+
+// untilDue returns the time until the flow has to send something, at most limit.
+func (f *flow) untilDue(limit time.Duration) time.Duration {
+	d := limit
+	if f.pendingAcks > 0 {
+		d = min(d, time.Until(f.ackAt))
+	}
+	if len(f.sending) > 0 {
+		d = min(d, time.Until(f.sendAt))
+	}
+	return max(d, 0)
+}
+
 // openFlow opens the flow. It returns answered, notOpened or refused.
 func (f *flow) openFlow() result {
 	isn := f.sequence
@@ -184,11 +208,20 @@
 				f.noteReset(&p)
 				return refused
 			}
-		case <-time.After(tick):
+		case <-time.After(untilCopy(copies, elapsed)):
 		}
 	}
 }
 
+// untilCopy returns the time until the next copy of the SYN or the end of the
+// attempt.
+func untilCopy(copies int, elapsed time.Duration) time.Duration {
+	if copies < len(synCopies) {
+		return synCopies[copies] - elapsed
+	}
+	return openTimeout - elapsed
+}
+
 // handshake handles a SYN+ACK. It reports whether the flow is open now.
 func (f *flow) handshake(p *arrival, isn uint32) bool {
 	if !p.has(flagSYN) || !p.has(flagACK) || p.ack != isn+1 {
@@ -307,7 +340,7 @@
 			if f.handle(&p) {
 				return reset
 			}
-		case <-time.After(tick):
+		case <-time.After(f.untilDue(time.Until(end) + tick)):
 		}
 		if done, r := f.answer(id, size); done {
 			f.transmit()
@@ -344,7 +377,7 @@
 			if f.handle(&p) {
 				return true
 			}
-		case <-time.After(tick):
+		case <-time.After(f.untilDue(time.Until(end))):
 		}
 	}
 	return false
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -36,6 +36,8 @@
 	slots             int
 	address           netip.AddrPort
 	record            *record
+	// latency is that of the way to requesters.
+	latency time.Duration
 	// born is the Unix millisecond of its start.
 	born int64
 
@@ -80,7 +82,7 @@
 
 // newServer starts a server.
 func (b *bed) newServer(id, service, zone string, slots int, address netip.AddrPort) (*server, error) {
-	s := &server{id: id, service: service, zone: zone, slots: slots, address: address, record: b.record, port: b.port, born: time.Now().UnixMilli(),
+	s := &server{id: id, service: service, zone: zone, slots: slots, address: address, record: b.record, port: b.port, latency: b.latency, born: time.Now().UnixMilli(),
 		flows: map[netip.AddrPort]*serverFlow{}, runs: map[string]int{}, done: make(chan struct{})}
 	var err error
 	if s.token, err = strconv.ParseUint(id[len("i-"):], 16, 64); err != nil {
@@ -226,7 +228,12 @@
 
 // send sends a packet directly to its requester.
 func (s *server) send(p packet) {
-	_, _ = s.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(p.destination.Addr(), s.port))
+	encoded, to := p.encode(), netip.AddrPortFrom(p.destination.Addr(), s.port)
+	if s.latency == 0 {
+		_, _ = s.conn.WriteToUDPAddrPort(encoded, to)
+		return
+	}
+	time.AfterFunc(s.latency, func() { _, _ = s.conn.WriteToUDPAddrPort(encoded, to) })
 }
 
 func (s *server) receiveData(f *serverFlow, p *packet) {
