--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"otherWriter":       otherWriter,
 	"rollingTerm":       rollingTerm,
+	"fuzzPorts":         fuzzPorts,
 	"pairReturn":        pairReturn,
 	"rollThree":         rollThree,
 	"hangingStop":       hangingStop,
