Log and count adopted flows, marks of other servers, and pins

Each adopted flow and each packet with the mark of a server that is not the flow's now has a log line, sampled as the others are, and a counter; pins sent and received are counted.

--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -213,6 +213,7 @@
 	}
 	c.peers = newPeers(h, h.peerConn)
 	h.traffic.announcePins = func(pins []steer.Pin) {
+		h.traffic.counters.PinsAnnounced.Add(uint64(len(pins)))
 		select {
 		case h.controlTasks <- func(c *control) { c.peers.pendingPins = append(c.peers.pendingPins, pins...) }:
 		default:
--- a/internal/marked/log.go
+++ b/internal/marked/log.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// flowAdopted logs the first packet of a flow that was opened through another
+// host.
+func (l *decisionLog) flowAdopted(now time.Duration, p *steer.Packet, v *steer.Verdict, published *publishedView) {
+	if e := l.ordinary.Check(zap.InfoLevel, "traffic: flow adopted"); e != nil {
+		e.Write(append(flowFields(now, p.Key, published), serverField("server", v.Server), zap.Uint32("mark", p.Mark))...)
+	}
+}
+
+// foreignMark logs a packet with the mark of another server than that of its
+// flow: both answered the SYN.
+func (l *decisionLog) foreignMark(now time.Duration, p *steer.Packet, v *steer.Verdict, published *publishedView) {
+	if e := l.unusual.Check(zap.InfoLevel, "traffic: mark of another server, flow stays at its server"); e != nil {
+		e.Write(append(flowFields(now, p.Key, published), serverField("server", v.Server), zap.Uint32("mark", p.Mark))...)
+	}
+}
+
 // answerReceived logs an answer that took at least slowAnswerThreshold.
 func (l *decisionLog) answerReceived(now time.Duration, p *steer.Packet, v *steer.Verdict, published *publishedView) {
 	if v.AnswerTime < slowAnswerThreshold {
--- a/internal/marked/pins.go
+++ b/internal/marked/pins.go
@@ -35,6 +35,7 @@
 	for _, p := range received {
 		t.table.AddPin(now, p)
 	}
+	t.counters.PinsReceived.Add(uint64(len(received)))
 	if now >= t.nextPinAnnounce && t.allPinsRequested.Swap(false) {
 		t.nextPinAnnounce = now + pinAnnounceInterval
 		if pins := t.table.Pins(); len(pins) > 0 {
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -70,7 +70,12 @@
 	// Reset counts the open flows that were reset, and Probes the probes of
 	// servers.
 	Reset, Probes atomic.Uint64
-	Dropped       [maxReasons]atomic.Uint64
+	// Adopted counts the flows that were opened through another host, and
+	// ForeignMarks the packets with the mark of another server than the flow's.
+	// PinsReceived counts the pins from other hosts, and PinsAnnounced those for
+	// them.
+	Adopted, ForeignMarks, PinsReceived, PinsAnnounced atomic.Uint64
+	Dropped                                            [maxReasons]atomic.Uint64
 }
 
 // traffic forwards packets. Its fields belong to the traffic loop, except those
@@ -342,6 +347,14 @@
 		t.counters.Resent.Add(1)
 		t.log.synResent(now, p.Key, v.Unresponsive, v.Server, t.current)
 	}
+	if v.Adopted {
+		t.counters.Adopted.Add(1)
+		t.log.flowAdopted(now, p, v, t.current)
+	}
+	if v.ForeignMark {
+		t.counters.ForeignMarks.Add(1)
+		t.log.foreignMark(now, p, v, t.current)
+	}
 	if v.HandshakeTime > 0 {
 		t.handshakes.Update(v.HandshakeTime.Seconds())
 	}
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -13,9 +13,10 @@
 	if s == nil {
 		return Verdict{Reason: UnknownMark}
 	}
-	v := Verdict{Action: Forward, Server: s}
+	v := Verdict{Action: Forward, Server: s, ForeignMark: p.Mark != 0 && p.Mark != s.Mark}
 	if f == nil && p.Length > 0 {
 		f = t.adoptFlow(p, s)
+		v.Adopted = f != nil
 	}
 	if f == nil {
 		return v
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -101,6 +101,10 @@
 	// Tries is the number of servers to which the SYN was sent, 0 if the Table
 	// has no state on the flow.
 	Tries int
+	// Adopted reports whether the Table had no state on the flow before the
+	// packet. ForeignMark reports whether the packet carries the mark of another
+	// server than that of the flow, to which the packet goes.
+	Adopted, ForeignMark bool
 }
 
 // Resend is a stored SYN to be sent to a server: to another one, because the
