Tell hosts of other data centres when a data centre's only host returns

Callers saw: after a planned restart of a data centre's only host, an unsafe request on an open flow was reset by a server at which the flow had never been open, about once a return.

Cause: while no host of a data centre is ready, routers use those of others. A host of another data centre sent the SYN; the rest of the handshake went through the host that had just returned, so the first host saw no answer and sent the SYN to a second server after some 20 ms. Hosts do not do that while routers may move flows, but only hosts of the same data centre were told, and only they took the notice into account.

Fix: a host notifies the hosts that may have flows for it: those of its own data centre as before, and all others if it knows fewer than two other hosts there, or if there are few hosts in all. The receiver expects rerouting from any host of its own data centre, and from one of another if no other host there is ready, as far as its digests say. The notice is sent twice, since datagrams are lost.

Tests, failing before: TestReadyHostStartsReroutingWindow (three new cases; 0s != 1m0.79s) and TestReadinessReachesHostsWithFlowsOfDataCentre (0 != 6, 0 != 40, 1 != 41, 6 != 12). The case "other data centre" of the first test wanted no window at all, which is the fault; it is replaced by four that say when there is one. newTestPeers now gives its hosts a readiness, which the rule reads.

--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -220,7 +220,8 @@
 	c.trafficStarted = true
 	now := c.host.now()
 	c.host.readyAt.Store(int64(now))
-	c.peers.notifyDataCentre(now, c)
+	c.peers.notifyReadiness(now, c)
+	c.peers.repeatNotice = true
 	c.host.events.Add(event.Event{Kind: event.Ready, Revision: view.DocumentVersion})
 	close(c.host.firstView)
 }
--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -281,14 +281,14 @@
 	h.stopRequestedAt.Store(int64(stopRequestedAt))
 	h.events.Add(event.Event{Kind: event.Stopping, Cause: "asked to stop"})
 	h.log.Info("entry: asked to stop")
-	h.callControl(func(c *control) { c.peers.notifyDataCentre(h.now(), c) })
+	h.callControl(func(c *control) { c.peers.notifyReadiness(h.now(), c) })
 	for abort.Err() == nil && !h.mayBecomeUnready(stopRequestedAt) {
 		sleep(abort, unreadyPollInterval)
 	}
 	h.leaving.Store(true)
 	h.traffic.leaving.Store(true)
 	h.traffic.allPinsRequested.Store(true)
-	h.callControl(func(c *control) { c.peers.notifyDataCentre(h.now(), c) })
+	h.callControl(func(c *control) { c.peers.notifyReadiness(h.now(), c) })
 	h.log.Info("entry: leaving, not ready any more", zap.Duration("waited", h.now()-stopRequestedAt))
 	sleep(abort, minDrainTime)
 	end := stopRequestedAt + h.settings.ShutdownTimeout - shutdownMargin
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -86,6 +86,8 @@
 	// name and revision are those of its latest digest; empty before the first.
 	name     string
 	revision uint64
+	// unready is set if the latest digest reported that the host is not ready.
+	unready bool
 }
 
 // peers holds the other hosts and exchanges digests with them. It belongs to
@@ -115,7 +117,10 @@
 	// forwards once its replica has caught up.
 	pendingBroadcasts map[string]*broadcast
 	nextDigest        time.Duration
-	retained          retainedQueries
+	// repeatNotice is set until the notice that this host became ready has been
+	// sent twice, since one datagram may be lost.
+	repeatNotice bool
+	retained     retainedQueries
 	// nextAnnounce is the time of the next check whether the store has enough
 	// records of hosts.
 	nextAnnounce time.Duration
@@ -185,10 +190,8 @@
 	p.watchers.ObserveHost(now, from.id, d.Served)
 	if d.DataCentre == p.host.settings.DataCentre {
 		p.coordinator.RecordReport(now, from.id, d.Report)
-		if d.ReadyFor > 0 && d.ReadyFor < joinReroutingWindow {
-			p.host.traffic.reroutingEnd.Store(int64(now + joinReroutingWindow - d.ReadyFor))
-		}
 	}
+	p.observeReadiness(now, from, d.ReadyFor)
 	origin := p.originID(d.Broadcast)
 	if origin != 0 {
 		p.watchers.ObserveHost(now, origin, true)
@@ -238,18 +241,6 @@
 	}
 }
 
-// notifyDataCentre sends the readiness of this host to the other hosts of its
-// data centre, at most to maxDirectHosts of them. In a larger data centre, the
-// readiness of a single host hardly affects whether others may stop.
-func (p *peers) notifyDataCentre(now time.Duration, c *control) {
-	d := p.newDigest(now, c, 0)
-	hosts := p.idsByDataCentre[p.host.settings.DataCentre]
-	first := rand.IntN(len(hosts) + 1)
-	for i := range min(len(hosts), maxDirectHosts) {
-		p.sendDigest(d, p.byID[hosts[(first+i)%len(hosts)]].address)
-	}
-}
-
 // sendPins sends the pending pins to all other hosts of this data centre, since
 // routers move flows between these. Each datagram contains at most
 // maxPinsPerDigest pins.
@@ -279,6 +270,10 @@
 	p.fetch(p.gossip.Tick(now))
 	p.queryRetainedState(now, c)
 	p.sendPins(now, c)
+	if p.repeatNotice {
+		p.repeatNotice = false
+		p.notifyReadiness(now, c)
+	}
 	if now >= p.nextDigest {
 		p.sendDigests(now, c)
 	}
@@ -326,13 +321,10 @@
 }
 
 // countLive returns the estimated number of other hosts that receive packets.
-// It counts the hosts that were last seen recently and since the start of this
-// process.
 func (p *peers) countLive(now time.Duration) int {
-	since := now - liveWindow - time.Duration(len(p.byID))*liveWindowPerHost
 	n := 0
 	for _, other := range p.byID {
-		if other.lastSeen > max(0, since) {
+		if p.isLive(now, other) {
 			n++
 		}
 	}
--- a/internal/marked/peers_test.go
+++ b/internal/marked/peers_test.go
@@ -19,8 +19,11 @@
 	"lagoonramp.org/lagoonramp/pkg/steer"
 )
 
+// testNow is when newTestPeers hears of the other hosts.
+const testNow = time.Second
+
 // newTestPeers returns the peers of a host in data centre a that knows n other
-// hosts in each of the data centres a and b.
+// hosts in each of the data centres a and b. All are ready.
 func newTestPeers(t *testing.T, n int) (*peers, *control) {
 	t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -37,8 +40,8 @@
 	c := &control{host: h, replica: mirror.New(mirror.Settings{})}
 	c.peers = newPeers(h, conn)
 	for i := range 2 * n {
-		d := &digest{From: fmt.Sprint("h", i+1), DataCentre: []string{"a", "b"}[i%2], Address: fmt.Sprintf("127.0.9.%d:9", i+1)}
-		c.peers.handleDigest(0, d, c)
+		d := &digest{From: fmt.Sprint("h", i+1), DataCentre: []string{"a", "b"}[i%2], Address: fmt.Sprintf("127.0.9.%d:9", i+1), Report: drain.Report{ReadyFor: time.Minute}}
+		c.peers.handleDigest(testNow, d, c)
 	}
 	return c.peers, c
 }
@@ -51,11 +54,11 @@
 	is.True(p.host.traffic.allPinsRequested.Load())
 	before := p.host.digestsSent.Load()
 	p.pendingPins = make([]steer.Pin, maxPinsPerDigest)
-	p.sendPins(0, c)
+	p.sendPins(testNow, c)
 	is.Equal(len(p.pendingPins), 0)
 	is.Equal(p.host.digestsSent.Load()-before, uint64(45))
 	p.host.traffic.allPinsRequested.Store(false)
-	p.handleDigest(0, &digest{From: "new", DataCentre: "b", Address: "127.0.9.200:9"}, c)
+	p.handleDigest(testNow, &digest{From: "new", DataCentre: "b", Address: "127.0.9.200:9"}, c)
 	is.True(!p.host.traffic.allPinsRequested.Load())
 }
 
@@ -109,7 +112,7 @@
 func TestDeadHostsExpireDespiteGossip(t *testing.T) {
 	is := is.New(t)
 	p, c := newTestPeers(t, 2)
-	later := peerTTL + time.Second
+	later := testNow + peerTTL + time.Second
 	p.handleDigest(later, &digest{
 		From: "h1", DataCentre: "a", Address: "127.0.9.1:9",
 		KnownHosts: []knownHost{{Address: "127.0.9.2:9", Age: later}, {Address: "127.0.9.3:9", Age: time.Second}},
@@ -180,29 +183,75 @@
 	}
 }
 
-// TestReadyHostStartsReroutingWindow checks that a host expects routers to move
-// flows after another host of its data centre has become ready.
+// TestReadyHostStartsReroutingWindow guards against second servers for flows that
+// routers move to a host that becomes ready (review/2): a host has to expect that
+// from any host of its data centre, and from the first one of another.
 func TestReadyHostStartsReroutingWindow(t *testing.T) {
+	const now = time.Minute
+	justReady := drain.Report{ReadyFor: 10 * time.Millisecond}
+	const window = now + joinReroutingWindow - 10*time.Millisecond
 	for _, tt := range []struct {
 		name   string
 		centre string
 		report drain.Report
+		// others are the reports of other hosts of data centre b, each sent at the
+		// given time.
+		others map[time.Duration]drain.Report
 		want   time.Duration
 	}{
-		{"just ready", "a", drain.Report{ReadyFor: 10 * time.Millisecond}, time.Minute + joinReroutingWindow - 10*time.Millisecond},
-		{"not ready yet", "a", drain.Report{}, 0},
-		{"ready for the whole window", "a", drain.Report{ReadyFor: joinReroutingWindow}, 0},
-		{"other data centre", "b", drain.Report{ReadyFor: 10 * time.Millisecond}, 0},
+		{name: "just ready", centre: "a", report: justReady, want: window},
+		{name: "not ready yet", centre: "a"},
+		{name: "ready for the whole window", centre: "a", report: drain.Report{ReadyFor: joinReroutingWindow}},
+		{name: "only host of another data centre", centre: "b", report: justReady, want: window},
+		{
+			name: "another host of that data centre is ready", centre: "b", report: justReady,
+			others: map[time.Duration]drain.Report{now: {ReadyFor: time.Minute}},
+		},
+		{
+			name: "the other host of that data centre is stopping", centre: "b", report: justReady,
+			others: map[time.Duration]drain.Report{now: {SinceStopRequest: time.Second}}, want: window,
+		},
+		{
+			name: "the other host of that data centre is silent", centre: "b", report: justReady,
+			others: map[time.Duration]drain.Report{now / 2: {ReadyFor: time.Minute}}, want: window,
+		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			p, c := newTestPeers(t, 0)
-			p.handleDigest(time.Minute, &digest{From: "h1", DataCentre: tt.centre, Address: "127.0.9.1:9", Report: tt.report}, c)
+			for at, report := range tt.others {
+				p.handleDigest(at, &digest{From: "h2", DataCentre: "b", Address: "127.0.9.2:9", Report: report}, c)
+			}
+			p.handleDigest(now, &digest{From: "h1", DataCentre: tt.centre, Address: "127.0.9.1:9", Report: tt.report}, c)
 			is.Equal(time.Duration(p.host.traffic.reroutingEnd.Load()), tt.want)
 		})
 	}
 }
 
+// TestReadinessReachesHostsWithFlowsOfDataCentre guards against a host of another
+// data centre that does not learn that the only host of this one has returned
+// (review/2). In a large data centre only hosts of it are told.
+func TestReadinessReachesHostsWithFlowsOfDataCentre(t *testing.T) {
+	for _, tt := range []struct{ own, other, want int }{
+		{0, 0, 0}, {0, 6, 6}, {0, 40, 40}, {1, 40, 41}, {6, 6, 12}, {2, 40, 2}, {45, 45, maxDirectHosts},
+	} {
+		t.Run(fmt.Sprint(tt), func(t *testing.T) {
+			is := is.New(t)
+			p, c := newTestPeers(t, 0)
+			for i := range tt.own + tt.other {
+				centre := "a"
+				if i >= tt.own {
+					centre = "b"
+				}
+				p.observeHost(testNow, netip.MustParseAddrPort(fmt.Sprintf("127.0.9.%d:9", i+1)), centre, testNow)
+			}
+			p.updateHostLists()
+			p.notifyReadiness(testNow, c)
+			is.Equal(p.host.digestsSent.Load(), uint64(tt.want))
+		})
+	}
+}
+
 // TestForgedDigestsAreBounded checks that forged digests neither make the
 // replica appear current in the future nor accumulate without limit.
 func TestForgedDigestsAreBounded(t *testing.T) {
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -52,9 +52,8 @@
 	// while there is no view.
 	discardInterval = time.Second
 	// startupReroutingWindow is the time after the start of a host, and
-	// joinReroutingWindow the time after another host of its data centre became
-	// ready, in which a missing answer may mean that routers moved the flow to
-	// another host. Routers need up to half a second to detect a ready host, and
+	// joinReroutingWindow the time after another host became ready to which
+	// routers may move flows, in which a missing answer may mean that they did. Routers need up to half a second to detect a ready host, and
 	// hosts that lost power together return within a second.
 	startupReroutingWindow = 1500 * time.Millisecond
 	joinReroutingWindow    = 800 * time.Millisecond
