Keep an adopted flow at the server of its first packet

A host that gets an open flow from another one followed the mark of each packet. If two servers had received the SYN, for example because the notice of the last commit was lost or came after the resend, the second one repeats its SYN+ACK for 9 s and changes the mark; the flow then moved to it and was reset.

The first packet that a host sees names the flow's server unless a late answer came before it; all later marks are no better. So the flow stays where its first packet went, until another host announces a pin. A flow is adopted by a pure acknowledgement as well, since that completes the handshake. Such flows, and those whose first SYN may have gone through another host, are kept for 60 s instead of 5 s: callers pause for up to the idle timeout, 15 s.

Ruled out: following a mark whose packet acknowledges new data. A repeated SYN+ACK between the data and its acknowledgement would move a sound flow.

Tests, failing before: TestAdoptedFlowStaysAtItsFirstServer (2 != 1, twice) and TestFlowOfRetransmittedSYNIsKept (1 != 2).

--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -13,7 +13,8 @@
 	// order.
 	triedMarks [maxTries]uint32
 	tries      int
-	// pinnedMark is the mark of the server at which the flow opened, 0 before.
+	// pinnedMark is the mark of the server at which the flow opened, as far as
+	// this host knows, 0 before.
 	pinnedMark uint32
 	// resentByTimeout reports whether a timeout has sent the SYN to another
 	// server since the caller last sent it.
@@ -50,7 +51,8 @@
 	dataEnd uint32
 	dataAt  time.Duration
 	// adopted reports whether the flow was opened through another host, or
-	// before this host deleted its state.
+	// before this host deleted its state. Its pin may be wrong until another host
+	// announces one.
 	adopted bool
 	ended   bool
 	// pinAnnounced reports whether the pin has been announced to other hosts.
@@ -87,6 +89,13 @@
 	return f.packetMark
 }
 
+// isSplit reports whether more than one server is known to have received the SYN.
+func (f *flow) isSplit() bool { return f.tries > 1 || f.pinAnnounced }
+
+// mayBeSplit reports whether more than one server may have received the SYN: this
+// host or another one may have sent it to a second one.
+func (f *flow) mayBeSplit() bool { return f.isSplit() || f.synsSeen < 0 }
+
 // needsServer reports whether the caller waits for an answer or may still be
 // receiving one.
 func (f *flow) needsServer() bool { return !f.ended && (f.requestPending || f.answering) }
@@ -120,13 +129,13 @@
 	t.freeFlows = f
 }
 
-// sweep deletes idle flows. An idle flow that is kept longer, because its SYN was
-// sent to more than one server, is no longer in flight.
+// sweep deletes idle flows. An idle flow that is kept longer, because more than
+// one server may have received its SYN, is no longer in flight.
 func (t *Table) sweep(now time.Duration) {
 	t.nextSweepAt = now + sweepInterval
 	for _, f := range t.flows {
 		timeout := t.settings.IdleTimeout
-		if f.tries > 1 && !f.ended {
+		if f.mayBeSplit() && !f.ended {
 			timeout = t.settings.SplitIdleTimeout
 		}
 		if now-f.lastPacketAt >= timeout {
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -14,7 +14,7 @@
 		return Verdict{Reason: UnknownMark}
 	}
 	v := Verdict{Action: Forward, Server: s, ForeignMark: p.Mark != 0 && p.Mark != s.Mark}
-	if f == nil && p.Length > 0 {
+	if f == nil && !p.FIN && !p.Reset {
 		f = t.adoptFlow(p, s)
 		v.Adopted = f != nil
 	}
@@ -31,22 +31,24 @@
 }
 
 // adoptFlow adds the state of an open flow whose SYN this host has not seen, or
-// returns nil if the table is full. The flow is not pinned: which server it
-// opened at is known only by its marks.
+// returns nil if the table is full. The flow is pinned to s, the server that the
+// mark of its first packet names: if a second server got the SYN, its late answers
+// change the mark.
 func (t *Table) adoptFlow(p *Packet, s *fleet.Server) *flow {
 	if len(t.flows) >= t.settings.MaxFlows {
 		return nil
 	}
 	f := t.newFlow(p, s.Service, nil)
 	f.triedMarks[0], f.tries = s.Mark, 1
+	f.pinnedMark = s.Mark
 	f.adopted = true
 	f.synsSeen = -1
 	return f
 }
 
 // serverFor returns the server of a packet after the SYN, or nil if there is
-// none. A flow that this host saw open, or whose pin it received, stays at its
-// server: if a packet carries another mark, the SYN or a retransmission reached
+// none. A flow that this host saw open or adopted, or whose pin it received, stays
+// at its server: if a packet carries another mark, the SYN or a retransmission reached
 // that server too, perhaps through another host. A reset goes to the server
 // whose answer caused it.
 func (t *Table) serverFor(p *Packet, f *flow) *fleet.Server {
--- a/pkg/steer/pin.go
+++ b/pkg/steer/pin.go
@@ -32,7 +32,7 @@
 func (t *Table) Pins() []Pin {
 	var out []Pin
 	for _, f := range t.flows {
-		if (f.tries > 1 || f.pinAnnounced) && f.pinnedMark != 0 && !f.ended {
+		if f.isSplit() && f.pinnedMark != 0 && !f.ended {
 			out = append(out, Pin{Key: f.key, Mark: f.pinnedMark})
 		}
 	}
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -21,8 +21,8 @@
 	// IdleTimeout is how long the state of an idle flow is kept. The default is
 	// 5 s.
 	IdleTimeout time.Duration
-	// SplitIdleTimeout is the same for flows whose SYN was sent to more than
-	// one server. The default is 60 s.
+	// SplitIdleTimeout is the same for flows whose SYN more than one server may
+	// have received. The default is 60 s.
 	SplitIdleTimeout time.Duration
 	// Rand breaks ties between servers.
 	Rand *rand.Rand
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -248,6 +248,41 @@
 	is.Equal(len(table.TakePins()), 1)
 }
 
+// TestAdoptedFlowStaysAtItsFirstServer guards against an open flow that follows a
+// late answer of a second server to its SYN (review/2): another host had sent the
+// SYN to both, and routers moved the flow before it was open.
+func TestAdoptedFlowStaysAtItsFirstServer(t *testing.T) {
+	const pause = 12 * time.Second
+	for _, tt := range []struct {
+		name   string
+		length int // Of the first packet, which completes the handshake.
+	}{{"opened by data", 10}, {"opened by an acknowledgement", 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTestTable(1, "a", "b")
+			is.Equal(table.testData(0, 1, 1, 7, tt.length).Server.Mark, uint32(1))
+			is.Equal(table.testData(ms, 1, 1, 7, 10).Server.Mark, uint32(1))
+			v := table.testData(pause, 1, 2, 8, 10)
+			is.Equal(v.Server.Mark, uint32(1))
+			is.True(v.ForeignMark)
+			is.Equal(table.TakePins(), []Pin{{Key: key(1), Mark: 1}})
+			reset := table.HandlePacket(pause, &Packet{Key: key(1), Mark: 2, Reset: true}, nil)
+			is.Equal(reset.Server.Mark, uint32(2)) // It goes to the server that caused it.
+		})
+	}
+}
+
+// TestFlowOfRetransmittedSYNIsKept guards against a host that forgets the server
+// of an open flow while a second one still answers the SYN: another host may have
+// received the first SYN.
+func TestFlowOfRetransmittedSYNIsKept(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(1, "a", "b")
+	opened := table.testSYN(0, 1, 1).Server.Mark
+	table.testData(ms, 1, opened, 7, 10)
+	is.Equal(table.testData(12*time.Second, 1, 3-opened, 8, 10).Server.Mark, opened)
+}
+
 func TestReusedPortStartsNewFlow(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(1, "a", "b")
