Hand the servers of open flows over at stops and starts

Callers saw: a request on an open flow was reset by a server at which the flow had never been open, after one planned restart of a data centre's only host; each such flow had lost a SYN+ACK.

Cause: the server that did not get the end of the handshake repeats its SYN+ACK, so its mark is the last one that the caller got. Only the memory of the host that saw the flow open, its pin, names the right server, and a restart lost it: pins went only to hosts of the same data centre, of which there was none. And a host with no traffic at all did not send its pins before it stopped, since nothing woke its traffic loop.

Ruled out: a server that gave up, since only the host's restart makes the difference.

Fix: pins go to the hosts that routers may move flows to: the data centre's own and, if fewer than two of these are ready, all. A digest names the process of its sender; the hosts that routers may move flows from hand a new process the pins that they found out themselves, when it joins and when it becomes ready, and the peers that it queries hand it those that they received, too. It queries at once when it is ready, and goes on after peers that do not answer. A pin replaces what a host that did not see the flow open believes. Pins are sent to the host that needs them, no longer to its whole data centre. The traffic loop can be woken.

TestInvalidPinsAreDropped covers the new request.

--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -29,6 +29,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", h.serveState)
 	mux.HandleFunc("GET "+retainedStatePath, h.serveRetainedState)
+	mux.HandleFunc("POST "+pinsPath, h.servePins)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { h.writeJSON(w, h.Status()) })
 	mux.HandleFunc("GET /events", func(w http.ResponseWriter, r *http.Request) {
 		events, _ := h.events.List(eventFilter(r))
--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -222,6 +222,7 @@
 	c.host.readyAt.Store(int64(now))
 	c.peers.notifyReadiness(now, c)
 	c.peers.repeatNotice = true
+	c.peers.queryRetainedState(now, c)
 	c.host.events.Add(event.Event{Kind: event.Ready, Revision: view.DocumentVersion})
 	close(c.host.firstView)
 }
--- a/internal/marked/digest.go
+++ b/internal/marked/digest.go
@@ -18,6 +18,8 @@
 	From       string `json:"from"`
 	DataCentre string `json:"dataCentre"`
 	Address    string `json:"address"`
+	// Instance identifies the process of the sender. It changes with a restart.
+	Instance uint64 `json:"instance,omitempty"`
 	// Revision is the revision of the sender's replica, and Age the time since
 	// the sender knew that it was current.
 	Revision uint64        `json:"revision"`
@@ -53,7 +55,7 @@
 // other hosts.
 func (p *peers) newDigest(now time.Duration, c *control, maxKnown int) *digest {
 	d := &digest{
-		From: p.host.settings.Name, DataCentre: p.host.settings.DataCentre, Address: p.host.settings.PeerAddress.String(),
+		From: p.host.settings.Name, DataCentre: p.host.settings.DataCentre, Address: p.host.settings.PeerAddress.String(), Instance: p.host.instance,
 		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.isBroadcaster(),
 		Report: p.host.readinessReport(now),
 	}
--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,7 +18,6 @@
 	"lagoonramp.org/lagoonramp/pkg/drain"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
-	"lagoonramp.org/lagoonramp/pkg/steer"
 )
 
 // Settings holds the parameters of a Host.
@@ -77,9 +78,15 @@
 type Host struct {
 	settings *Settings
 	log      *zap.Logger
-	events   *event.Ring
-	client   *http.Client
-	started  time.Time
+	// sampledLog is rate limited, for messages that other hosts can cause at any
+	// rate.
+	sampledLog *zap.Logger
+	events     *event.Ring
+	client     *http.Client
+	started    time.Time
+	// instance identifies this process among those of the same host. It is
+	// positive.
+	instance uint64
 	clock    *clock
 	traffic  *traffic
 	// published is the view that the traffic loop uses, nil before the first.
@@ -120,7 +127,7 @@
 // New opens the host's sockets.
 func New(settings *Settings, log *zap.Logger) (*Host, error) {
 	h := &Host{
-		settings: settings, log: log, started: time.Now(), clock: newClock(), events: event.NewRing(settings.Name, settings.DataCentre),
+		settings: settings, log: log, sampledLog: newSampledLogger(log, unusualLinesPerSecond), started: time.Now(), instance: 1 + rand.Uint64N(math.MaxUint64), clock: newClock(), events: event.NewRing(settings.Name, settings.DataCentre),
 		client:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout}},
 		controlTasks: make(chan func(*control), controlQueueLength), firstView: make(chan struct{}), controlStopped: make(chan struct{}), watchWake: make(chan struct{}, 1),
 	}
@@ -212,14 +219,7 @@
 		builder: fleet.NewBuilder(fleet.Settings{FlowLifetime: h.settings.FlowLifetime}),
 	}
 	c.peers = newPeers(h, h.peerConn)
-	h.traffic.announcePins = func(pins []steer.Pin) {
-		h.traffic.counters.PinsAnnounced.Add(uint64(len(pins)))
-		select {
-		case h.controlTasks <- func(c *control) { c.peers.pendingPins = append(c.peers.pendingPins, pins...) }:
-		default:
-			h.log.Warn("traffic: control queue full, pins of flows not sent to peers", zap.Int("flows", len(pins)))
-		}
-	}
+	h.connectPins()
 	h.shouldWatch.Store(true)
 	servers := map[net.Listener]*http.Server{
 		h.readinessListener: {Handler: h.settings.ReadinessHandler(h.isReady)},
@@ -287,8 +287,10 @@
 	}
 	h.leaving.Store(true)
 	h.traffic.leaving.Store(true)
-	h.traffic.allPinsRequested.Store(true)
-	h.callControl(func(c *control) { c.peers.notifyReadiness(h.now(), c) })
+	h.callControl(func(c *control) {
+		c.peers.handOverOnStop(h.now())
+		c.peers.notifyReadiness(h.now(), c)
+	})
 	h.log.Info("entry: leaving, not ready any more", zap.Duration("waited", h.now()-stopRequestedAt))
 	sleep(abort, minDrainTime)
 	end := stopRequestedAt + h.settings.ShutdownTimeout - shutdownMargin
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -86,6 +85,8 @@
 	// name and revision are those of its latest digest; empty before the first.
 	name     string
 	revision uint64
+	// instance identifies the process that sent the latest digest.
+	instance uint64
 	// unready is set if the latest digest reported that the host is not ready.
 	unready bool
 }
@@ -93,13 +94,10 @@
 // peers holds the other hosts and exchanges digests with them. It belongs to
 // the control loop.
 type peers struct {
-	host *Host
-	// sampledLog is rate limited, for messages that may occur for each host at
-	// the same time.
-	sampledLog *zap.Logger
-	conn       *net.UDPConn
-	gossip     *gossip.Machine
-	watchers   *gossip.WatcherSelector
+	host     *Host
+	conn     *net.UDPConn
+	gossip   *gossip.Machine
+	watchers *gossip.WatcherSelector
 	// isWatcher is set while this host is selected to watch the store for others.
 	isWatcher bool
 	// coordinator decides when this host may report that it is not ready.
@@ -111,8 +109,11 @@
 	byID            map[uint64]*peer
 	sortedIDs       []uint64
 	idsByDataCentre map[string][]uint64
-	// pendingPins are to be sent to the hosts of this data centre.
+	// pendingPins are to be sent to the hosts that routers may move flows to.
 	pendingPins []steer.Pin
+	// pinReceivers holds, by their IDs, the hosts that wait for the pins of all
+	// flows.
+	pinReceivers map[uint64]pinSet
 	// pendingBroadcasts holds, by origin, the latest broadcast that this host
 	// forwards once its replica has caught up.
 	pendingBroadcasts map[string]*broadcast
@@ -134,7 +135,7 @@
 func newPeers(h *Host, conn *net.UDPConn) *peers {
 	self := peerID(h.settings.PeerAddress)
 	p := &peers{
-		host: h, sampledLog: newSampledLogger(h.log, unusualLinesPerSecond), conn: conn, self: self, byID: map[uint64]*peer{}, idsByDataCentre: map[string][]uint64{}, pendingBroadcasts: map[string]*broadcast{},
+		host: h, conn: conn, self: self, byID: map[uint64]*peer{}, idsByDataCentre: map[string][]uint64{}, pinReceivers: map[uint64]pinSet{}, pendingBroadcasts: map[string]*broadcast{},
 		nextAnnounce: firstAnnounceDelay + rand.N(firstAnnounceSpread),
 		gossip:       gossip.New(self, gossip.Settings{FetchTimeout: fetchTimeout}, rand.New(rand.NewPCG(rand.Uint64(), self))),
 		watchers:     gossip.NewWatcherSelector(self, gossip.WatcherSelectorSettings{}),
@@ -181,12 +182,12 @@
 	p.addKnownHosts(now, d.KnownHosts)
 	from := p.byID[peerID(a)]
 	if len(d.Pins) > 0 {
-		p.host.traffic.addReceivedPins(d.Pins)
+		p.host.receivePins(d.Pins)
 	}
-	if from.name == "" {
-		p.handleJoin(now, a, d, c)
+	if from.name == "" || from.instance != d.Instance {
+		p.handleJoin(now, from, d, c)
 	}
-	from.name, from.revision = d.From, d.Revision
+	from.name, from.revision, from.instance = d.From, d.Revision, d.Instance
 	p.watchers.ObserveHost(now, from.id, d.Served)
 	if d.DataCentre == p.host.settings.DataCentre {
 		p.coordinator.RecordReport(now, from.id, d.Report)
@@ -207,17 +208,18 @@
 	p.fetch(p.gossip.ObserveRevision(now, from.id, d.Revision))
 }
 
-// handleJoin handles the first digest of a host. If the host is in this data
-// centre, it requests that all pins are sent and, if there are few hosts,
-// answers with a digest, so that the hosts know each other at once.
-func (p *peers) handleJoin(now time.Duration, a netip.AddrPort, d *digest, c *control) {
-	p.sampledLog.Info("peers: host joined", zap.String("peer", d.From), zap.Stringer("address", a))
+// handleJoin handles the first digest of a process of a host. If routers may move
+// flows to it, it sends it the pins that it needs. If the host is in this data
+// centre and that has few hosts, it answers with a digest, so that the hosts know
+// each other at once.
+func (p *peers) handleJoin(now time.Duration, from *peer, d *digest, c *control) {
+	p.host.sampledLog.Info("peers: host joined", zap.String("peer", d.From), zap.Stringer("address", from.address), zap.Bool("restarted", from.name != ""))
 	p.host.events.Add(event.Event{Kind: event.Joined, Peer: d.From})
-	if d.DataCentre == p.host.settings.DataCentre {
-		p.host.traffic.allPinsRequested.Store(true)
-		if len(p.idsByDataCentre[d.DataCentre]) <= maxDirectHosts {
-			p.sendDigest(p.newDigest(now, c, maxKnownHosts), a)
-		}
+	if p.mayTakeFlows(now, from) {
+		p.sendPinsTo(from, ownPins)
+	}
+	if d.DataCentre == p.host.settings.DataCentre && len(p.idsByDataCentre[d.DataCentre]) <= maxDirectHosts {
+		p.sendDigest(p.newDigest(now, c, maxKnownHosts), from.address)
 	}
 }
 
@@ -241,21 +243,6 @@
 	}
 }
 
-// sendPins sends the pending pins to all other hosts of this data centre, since
-// routers move flows between these. Each datagram contains at most
-// maxPinsPerDigest pins.
-func (p *peers) sendPins(now time.Duration, c *control) {
-	pins := p.pendingPins
-	p.pendingPins = nil
-	for chunk := range slices.Chunk(pins, maxPinsPerDigest) {
-		d := p.newDigest(now, c, 0)
-		d.Pins = chunk
-		for _, id := range p.idsByDataCentre[p.host.settings.DataCentre] {
-			p.sendDigest(d, p.byID[id].address)
-		}
-	}
-}
-
 // tick does the periodic work. It decides whether this host watches the store,
 // and sends the fetches, pins, digests and records that are due.
 func (p *peers) tick(now time.Duration, c *control) {
--- a/internal/marked/peers_test.go
+++ b/internal/marked/peers_test.go
@@ -1,10 +1,13 @@
 package marked
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,8 +36,8 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	h := &Host{
-		settings: &Settings{Name: "h0", DataCentre: "a", PeerAddress: address}, log: zap.NewNop(), clock: newClock(),
-		events: event.NewRing("h0", "a"), traffic: &traffic{}, client: &http.Client{}, controlStopped: make(chan struct{}),
+		settings: &Settings{Name: "h0", DataCentre: "a", PeerAddress: address}, log: zap.NewNop(), sampledLog: zap.NewNop(), clock: newClock(),
+		events: event.NewRing("h0", "a"), traffic: &traffic{conn: conn}, client: &http.Client{}, controlStopped: make(chan struct{}),
 	}
 	t.Cleanup(func() { close(h.controlStopped) })
 	c := &control{host: h, replica: mirror.New(mirror.Settings{})}
@@ -62,6 +65,93 @@
 	is.True(!p.host.traffic.allPinsRequested.Load())
 }
 
+// TestRestartedHostIsSentPins guards against a restarted host that knows no pins,
+// since the others did not tell its process from the former one (rollingTerm).
+func TestRestartedHostIsSentPins(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		next digest
+		want bool
+	}{
+		{"same process", digest{Instance: 1, Report: drain.Report{ReadyFor: time.Minute}}, false},
+		{"restarted", digest{Instance: 2}, true},
+		{"ready again", digest{Instance: 1, Report: drain.Report{ReadyFor: time.Millisecond}}, true},
+		{"restarted in another data centre with ready hosts", digest{Instance: 2, DataCentre: "b"}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p, c := newTestPeers(t, 3)
+			first := digest{Instance: 1, Report: drain.Report{ReadyFor: time.Minute}}
+			if tt.name == "ready again" {
+				first.ReadyFor = 0
+			}
+			for i, d := range []digest{first, tt.next} {
+				d.From, d.Address, d.DataCentre = "h1", "127.0.9.100:9", cmp.Or(tt.next.DataCentre, "a")
+				clear(p.pinReceivers)
+				p.handleDigest(testNow+time.Duration(i)*time.Second, &d, c)
+			}
+			_, got := p.pinReceivers[peerID(netip.MustParseAddrPort("127.0.9.100:9"))]
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// TestPinsReachHostsThatMayGetTheFlows guards against pins that die with the only
+// host of a data centre (review/3): routers move its flows to other data centres.
+func TestPinsReachHostsThatMayGetTheFlows(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		ready int // Of the two other hosts of the data centre.
+		want  int
+	}{{"no other host", 0, 2}, {"one other host", 1, 3}, {"two other hosts", 2, 2}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p, c := newTestPeers(t, 0)
+			for i := range 2 + tt.ready {
+				d := &digest{From: fmt.Sprint("h", i), DataCentre: "b", Address: fmt.Sprintf("127.0.9.%d:9", i+1), Report: drain.Report{ReadyFor: time.Minute}}
+				if i >= 2 {
+					d.DataCentre = "a"
+				}
+				p.handleDigest(testNow, d, c)
+			}
+			before := p.host.digestsSent.Load()
+			p.pendingPins = make([]steer.Pin, 1)
+			p.sendPins(testNow, c)
+			is.Equal(p.host.digestsSent.Load()-before, uint64(tt.want))
+			clear(p.pinReceivers)
+			p.handOverOnStop(testNow)
+			is.Equal(len(p.pinReceivers), tt.want)
+		})
+	}
+}
+
+// TestInvalidPinsAreDropped checks that a request with pins that lack an address or
+// a mark, or that is no list of pins, changes nothing else.
+func TestInvalidPinsAreDropped(t *testing.T) {
+	const valid = `{"Key":{"Caller":"100.64.0.7:40001","Service":"198.18.0.1:443"},"Mark":7}`
+	for _, tt := range []struct {
+		body         string
+		status, pins int
+	}{
+		{"[" + valid + "]", http.StatusNoContent, 1},
+		{"[" + valid + `,{"Mark":7},{"Key":{"Caller":"100.64.0.7:40001"},"Mark":7},{"Key":{"Caller":"100.64.0.7:40001","Service":"198.18.0.1:443"}}]`, http.StatusNoContent, 1},
+		{"null", http.StatusNoContent, 0},
+		{`[{"Mark":-1}]`, http.StatusBadRequest, 0},
+		{`{}`, http.StatusBadRequest, 0},
+		{strings.Repeat("[", 20_000), http.StatusBadRequest, 0},
+		{"[" + strings.Repeat(valid+",", maxPinsRequestSize/len(valid)) + valid + "]", http.StatusBadRequest, 0},
+	} {
+		t.Run(tt.body[:min(40, len(tt.body))], func(t *testing.T) {
+			is := is.New(t)
+			p, _ := newTestPeers(t, 0)
+			w := httptest.NewRecorder()
+			p.host.servePins(w, httptest.NewRequest(http.MethodPost, pinsPath, strings.NewReader(tt.body)))
+			is.Equal(w.Code, tt.status)
+			is.Equal(len(p.host.traffic.receivedPins), tt.pins)
+		})
+	}
+}
+
 func TestFitsDatagramLimitsItems(t *testing.T) {
 	is := is.New(t)
 	p, _ := newTestPeers(t, 1)
--- a/internal/marked/probe.go
+++ b/internal/marked/probe.go
@@ -79,9 +79,7 @@
 	t.receivedMu.Lock()
 	t.probeReports = append(t.probeReports, probeReport{probe: p, result: result})
 	t.receivedMu.Unlock()
-	if err := t.conn.SetReadDeadline(time.Now()); err != nil && !isClosed(err) {
-		t.log.operationFailed("wake the traffic loop", err)
-	}
+	t.wake()
 }
 
 // recordProbes passes the results of probes to the table.
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -16,8 +16,9 @@
 
 const (
 	// maxRetainedQueries is the maximum number of peers that a host queries for
-	// retained state after its start.
-	maxRetainedQueries = 4
+	// retained state after its start, and maxRetainedReplies that of replies.
+	maxRetainedQueries = 12
+	maxRetainedReplies = 4
 	// retainedStatePath is the HTTP path at which peers query the retained state.
 	retainedStatePath = "/remnants"
 )
@@ -36,8 +37,10 @@
 // its start, the departed servers and former targets that open flows still need.
 // The store does not have this state.
 type retainedQueries struct {
-	// queried holds the IDs of the peers that were queried.
+	// queried holds the IDs of the peers that were queried, and replies counts
+	// those that replied.
 	queried []uint64
+	replies int
 	// done is set once a peer has replied that has been running for at least the
 	// maximum duration of a flow. Its state is complete.
 	done bool
@@ -47,7 +50,7 @@
 // this data centre go first: if it is partitioned from the others, its changes
 // reach them first.
 func (p *peers) queryRetainedState(now time.Duration, c *control) {
-	if p.retained.done || len(p.retained.queried) >= maxRetainedQueries || !c.trafficStarted {
+	if p.retained.done || p.retained.replies >= maxRetainedReplies || len(p.retained.queried) >= maxRetainedQueries || !c.trafficStarted {
 		return
 	}
 	var best *peer
@@ -81,7 +84,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	var reply retainedStateReply
-	path := retainedStatePath + "?dataCentre=" + url.QueryEscape(h.settings.DataCentre)
+	path := retainedStatePath + "?" + url.Values{
+		"dataCentre": {h.settings.DataCentre}, "address": {h.settings.PeerAddress.String()},
+	}.Encode()
 	if err := getJSON(ctx, h.client, from, path, &reply); err != nil {
 		h.log.Warn("peers: retained state not fetched", zap.Stringer("peer", from), zap.Error(err))
 		return
@@ -91,6 +96,7 @@
 
 // mergeRetainedState merges a peer's retained state and rebuilds the view.
 func (c *control) mergeRetainedState(from netip.AddrPort, reply *retainedStateReply) {
+	c.peers.retained.replies++
 	if reply.UpFor >= c.host.settings.FlowLifetime {
 		c.peers.retained.done = true
 	}
@@ -106,16 +112,31 @@
 	c.buildView(now)
 }
 
-// serveRetainedState writes the retained state for a host that has just
-// started. If that host is in this data centre, all pins are announced as well.
+// serveRetainedState writes the retained state for a host that has just started.
+// If routers may move flows to that host, all pins are sent to it as well.
 func (h *Host) serveRetainedState(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("dataCentre") == h.settings.DataCentre {
-		h.traffic.allPinsRequested.Store(true)
+	q := r.URL.Query()
+	from, err := netip.ParseAddrPort(q.Get("address"))
+	if err != nil {
+		http.Error(w, "address must be the peer address of the host that asks", http.StatusBadRequest)
+		return
 	}
 	var reply retainedStateReply
 	h.callControl(func(c *control) {
 		now := h.now()
+		c.peers.serveStart(now, from, q.Get("dataCentre"))
 		reply = retainedStateReply{UpFor: now, RetainedState: c.builder.RetainedState(now), KnownHosts: c.peers.knownHosts(now)}
 	})
 	h.writeCompressed(w, &reply)
 }
+
+// serveStart sends all pins to a host that has just started, if routers may move
+// flows to it.
+func (p *peers) serveStart(now time.Duration, address netip.AddrPort, dataCentre string) {
+	if p.observeHost(now, address, dataCentre, now) {
+		p.updateHostLists()
+	}
+	if from := p.byID[peerID(address)]; from != nil && p.mayTakeFlows(now, from) {
+		p.sendPinsTo(from, allPins)
+	}
+}
--- a/internal/marked/rotation.go
+++ b/internal/marked/rotation.go
@@ -46,12 +46,25 @@
 // observeReadiness records the readiness that a peer reported. After it became
 // ready, routers may move flows to it for joinReroutingWindow.
 func (p *peers) observeReadiness(now time.Duration, from *peer, readyFor time.Duration) {
+	wasReady := !from.unready
 	from.unready = readyFor == 0
+	if !wasReady && !from.unready && p.mayTakeFlows(now, from) {
+		p.sendPinsTo(from, ownPins)
+	}
 	if readyFor > 0 && readyFor < joinReroutingWindow && p.mayTakeFlows(now, from) {
 		p.host.traffic.reroutingEnd.Store(int64(now + joinReroutingWindow - readyFor))
 	}
 }
 
+// rerouteTargets returns the IDs of the hosts that routers may move the flows of
+// this host to: those of its data centre and, if few of them are ready, all.
+func (p *peers) rerouteTargets(now time.Duration) []uint64 {
+	if p.countReady(now, p.host.settings.DataCentre, p.self) < minBackupHosts {
+		return p.sortedIDs
+	}
+	return p.idsByDataCentre[p.host.settings.DataCentre]
+}
+
 // notifyReadiness sends the readiness of this host to the hosts that routers may
 // move flows from: at most maxDirectHosts of its data centre, since in a larger
 // one the readiness of a single host hardly affects whether others may stop, and
--- a/internal/marked/testbed_test.go
+++ b/internal/marked/testbed_test.go
@@ -1,6 +1,7 @@
 package marked_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +21,9 @@
 	"lagoonramp.org/lagoonramp/platform/stub"
 )
 
+// localDataCentre is the data centre of the callers and the servers.
+const localDataCentre = "sapporo"
+
 // eventTimeout is the timeout of testbed.eventually.
 const eventTimeout = 20 * time.Second
 
@@ -37,6 +41,11 @@
 	hosts   []*hostProcess
 	servers []*stub.Server
 	version int
+	// dropSYNACK is the DropSYNACK of all servers.
+	dropSYNACK func(caller netip.AddrPort) bool
+	// dataCentres holds the data centres of hosts outside that of the callers, by
+	// their numbers.
+	dataCentres map[int]string
 	// wrapStore wraps the hosts' stores, if it is not nil.
 	wrapStore func(marked.Store) marked.Store
 	requests  atomic.Int64
@@ -111,7 +120,7 @@
 func (w *testbed) addServer(service string) *stub.Server {
 	w.t.Helper()
 	n := len(w.servers) + 1
-	s := &stub.Server{ID: fmt.Sprintf("i-%010x", n), Service: service, DataCentre: "sapporo", Slots: 3}
+	s := &stub.Server{ID: fmt.Sprintf("i-%010x", n), Service: service, DataCentre: localDataCentre, Slots: 3, DropSYNACK: w.dropSYNACK}
 	if err := w.AddServer(s, w.ServerAddress(n)); err != nil {
 		w.t.Fatal(err)
 	}
@@ -129,7 +138,8 @@
 func (w *testbed) startHost(n int) *hostProcess {
 	w.t.Helper()
 	h := w.startKnownHost(n)
-	w.AddToRouters(fmt.Sprintf("h%d", n), w.HostAddresses(n))
+	at := w.HostAddresses(n)
+	w.Router.Add(stub.Host{Name: fmt.Sprintf("h%d", n), DataCentre: w.dataCentres[n], Packets: at.Packets, Ready: at.Ready})
 	return h
 }
 
@@ -144,7 +154,7 @@
 	}
 	h := &hostProcess{store: &refusableStore{Store: store}, done: make(chan struct{})}
 	settings := &marked.Settings{
-		Name: fmt.Sprintf("h%d", n), DataCentre: "sapporo",
+		Name: fmt.Sprintf("h%d", n), DataCentre: cmp.Or(w.dataCentres[n], localDataCentre),
 		PacketAddress: at.Packets, ReadinessAddress: at.Ready, PeerAddress: at.Peer, AdminAddress: at.Admin.String(), Seeds: []netip.AddrPort{w.HostAddresses(1).Peer},
 		FlowLifetime: time.Minute, ShutdownTimeout: 6 * time.Second, DroppedLogLines: func() uint64 { return 0 },
 		Codec: platform.Codec{}, Store: h.store, Decoder: platform.Decoder{}, ReadinessHandler: platform.ReadinessHandler,
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -109,19 +109,23 @@
 	// reading is a system call.
 	lastClock   time.Duration
 	lastBatchAt atomic.Int64
-	// announcePins passes pins to the control loop, which sends them to other
-	// hosts. It must not block.
+	// announcePins passes new pins to the control loop, which sends them to other
+	// hosts, and handOverPins the pins of all flows after requestAllPins. They must
+	// not block.
 	announcePins func([]steer.Pin)
+	handOverPins func(own, received []steer.Pin)
 	// receivedPins holds pins of other hosts until the loop adds them to the
-	// table. allPinsRequested is set if all pins are to be announced.
+	// table. allPinsRequested is set if all pins are to be handed over.
 	receivedMu       sync.Mutex
 	receivedPins     []steer.Pin
 	allPinsRequested atomic.Bool
+	// wakePending is set by wake until the loop has seen it.
+	wakePending atomic.Bool
 	// probeReports holds the results of probes until the loop records them. It
 	// is guarded by receivedMu. pendingProbes counts the probes that run.
 	probeReports  []probeReport
 	pendingProbes atomic.Int32
-	// nextPinAnnounce is the earliest time at which all pins may be announced
+	// nextPinAnnounce is the earliest time at which all pins may be handed over
 	// again.
 	nextPinAnnounce time.Duration
 	// serverReports and serviceReports are the latest reports of the table. They
@@ -221,18 +225,37 @@
 }
 
 // setDeadline sets the read deadline of the socket to the next deadline of the
-// table.
+// table, or of the pins to be handed over.
 func (t *traffic) setDeadline() {
 	at, ok := t.table.NextDeadline()
+	if t.allPinsRequested.Load() && (!ok || t.nextPinAnnounce < at) {
+		at, ok = t.nextPinAnnounce, true
+	}
 	var deadline time.Time
 	if ok {
 		deadline = time.Now().Add(at - t.lastClock)
 	}
+	t.setReadDeadline(deadline)
+	if t.wakePending.Swap(false) {
+		t.setReadDeadline(time.Now())
+	}
+}
+
+// setReadDeadline sets the read deadline of the socket.
+func (t *traffic) setReadDeadline(deadline time.Time) {
 	if err := t.conn.SetReadDeadline(deadline); err != nil && !isClosed(err) {
 		t.log.operationFailed("set the read deadline of the packet socket", err)
 	}
 }
 
+// wake makes the traffic loop handle what other goroutines passed to it, although
+// no packet arrives. It is safe for concurrent use.
+func (t *traffic) wake() {
+	// setDeadline may run after this and would undo it without the flag.
+	t.wakePending.Store(true)
+	t.setReadDeadline(time.Now())
+}
+
 // handleBatch handles a batch of n packets and updates the counters and
 // reports.
 func (t *traffic) handleBatch(n int) {
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -55,8 +55,9 @@
 	// announces one.
 	adopted bool
 	ended   bool
-	// pinAnnounced reports whether the pin has been announced to other hosts.
-	pinAnnounced bool
+	// pinAnnounced reports whether the pin has been announced to other hosts, or
+	// by one of them. pinReceived reports the latter.
+	pinAnnounced, pinReceived bool
 	// generation changes when the record is reused, which invalidates timers
 	// and held SYNs of the former flow.
 	generation uint32
--- a/pkg/steer/pin.go
+++ b/pkg/steer/pin.go
@@ -28,22 +28,28 @@
 	return out
 }
 
-// Pins returns the pins of all open flows that have one.
-func (t *Table) Pins() []Pin {
-	var out []Pin
+// Pins returns the pins of all open flows that have one. own are those that this
+// host found out, and received those that other hosts announced.
+func (t *Table) Pins() (own, received []Pin) {
 	for _, f := range t.flows {
-		if f.isSplit() && f.pinnedMark != 0 && !f.ended {
-			out = append(out, Pin{Key: f.key, Mark: f.pinnedMark})
+		if !f.isSplit() || f.pinnedMark == 0 || f.ended {
+			continue
+		}
+		p := Pin{Key: f.key, Mark: f.pinnedMark}
+		if f.pinReceived {
+			received = append(received, p)
+		} else {
+			own = append(own, p)
 		}
 	}
-	return out
+	return own, received
 }
 
 // AddPin records a pin that another host announced. It ignores the pin if the
-// table is full or knows from the SYN where the flow opened.
+// table is full or if this host saw the flow open.
 func (t *Table) AddPin(now time.Duration, p Pin) {
 	f := t.flows[p.Key]
-	if f != nil && !f.adopted {
+	if f != nil && !f.adopted && f.pinnedMark != 0 {
 		return
 	}
 	if f == nil {
@@ -53,8 +59,8 @@
 		f = t.newFlow(&Packet{Key: p.Key}, "", nil)
 	}
 	f.triedMarks[0] = p.Mark
-	f.tries = 2 // At least two servers got the SYN, so SplitIdleTimeout applies.
+	f.tries = max(f.tries, 2) // At least two servers got the SYN.
 	f.pinnedMark = p.Mark
-	f.pinAnnounced = true
+	f.pinAnnounced, f.pinReceived = true, true
 	f.lastPacketAt = now
 }
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -225,7 +225,8 @@
 					informed.AddPin(now, p)
 				}
 				is.Equal(informed.testData(now, 1, m, 7, 10).Server.Mark, opened)
-				is.Equal(len(informed.Pins()) > 0, otherMarkSeen) // A pin is announced only if the packets carry two marks.
+				_, received := informed.Pins()
+				is.Equal(len(received) > 0, otherMarkSeen) // A pin is announced only if the packets carry two marks.
 				reset := table.HandlePacket(now, &Packet{Key: key(1), Mark: m, Reset: true}, nil)
 				is.Equal(reset.Server.Mark, m) // A reset goes to the server that caused it.
 				table.flows[key(1)].ended = false
@@ -467,6 +468,45 @@
 	}
 }
 
+// TestPinReplacesUncertainServer guards against a host that ignores a pin although
+// it does not know itself where the flow opened (review/3): it has adopted the flow,
+// or only seen a SYN of it.
+func TestPinReplacesUncertainServer(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		before func(table *Table)
+		want   uint32
+	}{
+		{"unknown flow", func(*Table) {}, 2},
+		{"adopted flow", func(table *Table) { table.testData(0, 1, 1, 7, 10) }, 2},
+		{"SYN sent only", func(table *Table) { table.testSYN(0, 1, 1) }, 2},
+		{"opened here", func(table *Table) { table.testSYN(0, 1, 0); table.testData(0, 1, 1, 7, 10) }, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTestTable(1, "a", "b")
+			tt.before(table)
+			table.AddPin(ms, Pin{Key: key(1), Mark: 2})
+			is.Equal(table.testData(2*ms, 1, 1, 7, 10).Server.Mark, tt.want)
+		})
+	}
+}
+
+// TestPinsTellOwnFromReceived checks that a host hands over the pins that it found
+// out and those that it received separately, so that a joining host does not get
+// each pin from each other host.
+func TestPinsTellOwnFromReceived(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(1, "a", "b")
+	table.testData(0, 1, 1, 7, 10)
+	table.testData(0, 2, 1, 7, 10)
+	table.testData(ms, 2, 2, 8, 10) // Two servers have answered.
+	table.AddPin(ms, Pin{Key: key(3), Mark: 2})
+	own, received := table.Pins()
+	is.Equal(own, []Pin{{Key: key(2), Mark: 1}})
+	is.Equal(received, []Pin{{Key: key(3), Mark: 2}})
+}
+
 // TestTimeoutTriesOneOtherServer checks that a SYN goes to two servers at most
 // until its caller retransmits it. If the flow has moved to another host, all
 // servers that this host takes for unresponsive would answer.
