Leave an open flow's SYN unsent

Callers saw: a request on an open flow was reset 12 s after the flow opened, one flow in 1,760 during a roll of a data centre with three hosts.

Cause: the caller's first SYN went through a host that was stopping and its SYN+ACK was lost. The second SYN came to another host, which held it, since it holds retransmitted SYNs while its share of the slots is taken. The flow then opened at the first server, and its packets were forwarded there, but the host kept the SYN, sent it to a second server 20 ms later, and took the next mark, that of the second server, for the flow's. It announced this pin to the others. In the same way a SYN that arrives after the first packet of its flow started a new one.

Evidence: a run with a log line for each packet (a trial, not committed). Flow 40860: SYN to the first server, 204 ms later a request with its mark at a host that had sent no SYN (tries 0), 25 ms later an acknowledgement with the mark of a second server, to which all packets went from then on; pins of that second server at the others. Ruled out: lost pins (each host got the pin, a wrong one) and the rerouting windows (no SYN was sent to a second server after a timeout).

Fix: a packet after the SYN shows that the flow is open, so a flow whose SYN is held is adopted with its server, and the SYN is dropped. A SYN whose number comes right before the first packet of an adopted flow belongs to it.

TestOpenFlowsSYNReachesNoSecondServer fails before in four of four cases (2 != 1, 1 != 2).

--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -5,8 +5,8 @@
 // flow is the state that a Table keeps on a flow.
 type flow struct {
 	key Key
-	// sequence is the sequence number of the SYN. A SYN with another one starts
-	// a new flow.
+	// sequence is the sequence number of the SYN or, if adopted is set, of the
+	// first packet that this host saw. Another SYN starts a new flow.
 	sequence uint32
 	service  string
 	// triedMarks holds the marks of the servers to which the SYN was sent, in
@@ -90,6 +90,12 @@
 	return f.packetMark
 }
 
+// isSYN reports whether a SYN with a sequence number is one of the flow. The first
+// packet after it, with which a flow may have been adopted, has the next number.
+func (f *flow) isSYN(sequence uint32) bool {
+	return f.sequence == sequence || f.adopted && f.sequence == sequence+1
+}
+
 // isSplit reports whether more than one server is known to have received the SYN.
 func (f *flow) isSplit() bool { return f.tries > 1 || f.pinAnnounced }
 
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -14,9 +14,15 @@
 		return Verdict{Reason: UnknownMark}
 	}
 	v := Verdict{Action: Forward, Server: s, ForeignMark: p.Mark != 0 && p.Mark != s.Mark}
-	if f == nil && !p.FIN && !p.Reset {
+	switch {
+	case p.Reset:
+	case f == nil && !p.FIN:
 		f = t.adoptFlow(p, s)
 		v.Adopted = f != nil
+	case f != nil && f.tries == 0:
+		// The SYN is held here, and the flow opened through another host.
+		f.adopt(s)
+		v.Adopted = true
 	}
 	if f == nil {
 		return v
@@ -39,11 +45,16 @@
 		return nil
 	}
 	f := t.newFlow(p, s.Service, nil)
+	f.adopt(s)
+	return f
+}
+
+// adopt pins the flow to the server that its first packet names.
+func (f *flow) adopt(s *fleet.Server) {
 	f.triedMarks[0], f.tries = s.Mark, 1
 	f.pinnedMark = s.Mark
 	f.adopted = true
 	f.synsSeen = -1
-	return f
 }
 
 // serverFor returns the server of a packet after the SYN, or nil if there is
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -157,7 +157,7 @@
 // handleSYN decides on a SYN or a retransmission of it.
 func (t *Table) handleSYN(now time.Duration, p *Packet, raw []byte) Verdict {
 	f := t.flows[p.Key]
-	if f != nil && f.sequence == p.Sequence && !f.ended {
+	if f != nil && f.isSYN(p.Sequence) && !f.ended {
 		return t.handleRetransmittedSYN(now, f, p)
 	}
 	if f != nil {
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -273,6 +273,33 @@
 	}
 }
 
+// TestOpenFlowsSYNReachesNoSecondServer guards against a host that gives an open
+// flow a second server and takes it for the flow's (rollingTerm): a retransmitted SYN
+// is held here, or arrives late, while the flow opens at the server to which another
+// host sent the first SYN.
+func TestOpenFlowsSYNReachesNoSecondServer(t *testing.T) {
+	for _, opened := range []uint32{1, 2} {
+		t.Run(fmt.Sprint("held, opened at ", opened), func(t *testing.T) {
+			is := is.New(t)
+			table := newOverloadedTable(uint64(opened))
+			is.Equal(table.testSYNTransmission(0, 1, 1).Action, Hold)
+			is.Equal(table.testData(ms, 1, opened, 7, 10).Server.Mark, opened)
+			l := table.limiter("desk")
+			l.limit, l.inFlight, l.slotShare = 50, 0, 50
+			is.Equal(table.testResendAll(2*time.Second), nil)
+			is.Equal(table.testData(3*time.Second, 1, 3-opened, 8, 0).Server.Mark, opened)
+		})
+		t.Run(fmt.Sprint("late, opened at ", opened), func(t *testing.T) {
+			is := is.New(t)
+			table := newTestTable(uint64(opened), "a", "b")
+			first := &Packet{Key: key(1), Mark: opened, Sequence: 2, Ack: 7, Length: 10}
+			is.Equal(table.HandlePacket(0, first, nil).Server.Mark, opened)
+			is.Equal(table.testSYN(ms, 1, 1).Server.Mark, opened)
+			is.Equal(table.testData(2*ms, 1, 3-opened, 8, 0).Server.Mark, opened)
+		})
+	}
+}
+
 // TestFlowOfRetransmittedSYNIsKept guards against a host that forgets the server
 // of an open flow while a second one still answers the SYN: another host may have
 // received the first SYN.
