--- a/internal/marked/marked_test.go
+++ b/internal/marked/marked_test.go
@@ -1,6 +1,7 @@
 package marked_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -195,6 +196,26 @@
 	w.checkLedger()
 }
 
+// TestForeignEntryHidesNoDrain guards against a draining server that gets new flows
+// since another writer has an entry of its address with fields in other spelling
+// (review/4).
+func TestForeignEntryHidesNoDrain(t *testing.T) {
+	w := newTestbed(t)
+	w.startAndWait(2, 2)
+	leaving := w.servers[0]
+	foreign := bytes.ToLower(leaving.Entry("ready"))
+	foreign = bytes.Replace(foreign, []byte(`"born":1`), []byte(`"born":2`), 1) // Later than the server's.
+	last := w.Store.Put("servers/agent-"+strings.TrimPrefix(leaving.ID, "i-"), foreign)
+	for _, h := range w.hosts {
+		w.eventually("a host has read the foreign entry", func() bool { return h.StoreRevision() >= last })
+	}
+	leaving.Drain()
+	w.Store.Put(leaving.Key(), leaving.Entry("draining"))
+	for _, h := range w.hosts {
+		w.eventually("a host knows that the server is draining", func() bool { return w.hasServers(h, 2) })
+	}
+}
+
 // TestFlowToServiceWithoutServersIsRefused checks the refusal of flows to a
 // service without servers. A host that has just started drops them instead,
 // since the entries may have expired during an outage of the store. After that,
