--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -260,7 +260,7 @@
 	if ok {
 		c.decoded[i.Key] = decodedServer{revision: i.Revision, server: s}
 		if err != nil {
-			c.host.log.Warn("control: invalid server entry", zap.String("key", i.Key), zap.Error(err))
+			c.host.sampledLog.Warn("control: invalid server entry", zap.String("key", i.Key), zap.Error(err))
 			return
 		}
 		servers[s.ID] = s
--- a/internal/marked/marked_test.go
+++ b/internal/marked/marked_test.go
@@ -216,6 +216,52 @@
 	}
 }
 
+// TestOddEntriesStopNoHost guards against hosts that end, or follow the store no
+// more, since another writer left an odd entry among those of the servers. Hosts
+// that run, and one that starts, go on to follow servers and documents, and serve
+// the state of servers that have left.
+func TestOddEntriesStopNoHost(t *testing.T) {
+	const entry = `{"Service":"entry-desk","Address":"127.0.0.1:9","Zone":"z","Version":"v","Concurrency":1,"State":"draining","WarmupLeftMs":0,"Sequence":1,"born":1}`
+	odd := map[string]string{
+		"deep nesting":       strings.Replace(entry, `"v"`, strings.Repeat(`{"a":[`, 50_000)+strings.Repeat("]}", 50_000), 1),
+		"open nesting":       strings.Repeat("[", 200_000),
+		"deep unknown field": strings.Replace(entry, "{", `{"more":`+strings.Repeat("[", 200_000)+strings.Repeat("]", 200_000)+",", 1),
+		"huge number":        strings.Replace(entry, `"WarmupLeftMs":0`, `"WarmupLeftMs":1e99999`, 1),
+		"huge slots":         strings.Replace(entry, `"Concurrency":1`, `"Concurrency":9223372036854775807`, 1),
+		"huge start time":    strings.Replace(entry, `"born":1`, `"born":9223372036854775807`, 1),
+		"port out of range":  strings.Replace(entry, "127.0.0.1:9", "127.0.0.1:65536", 1),
+		"no port":            strings.Replace(entry, "127.0.0.1:9", "127.0.0.1", 1),
+		"broken text":        "\xff\x00{",
+	}
+	for name, value := range odd {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newTestbed(t)
+			w.startAndWait(2, 2)
+			w.Store.Put("servers/i-00000000000000ad", []byte(value))
+			w.startHost(3)
+			check := func() {
+				w.configure("entry-desk", "catalogue-press")
+				for _, h := range w.hosts {
+					w.eventually("a host has the new document", func() bool { return h.DocumentVersion() == uint64(w.version) })
+					w.eventually("a host knows the sound servers", func() bool { return w.hasServers(h, 3) })
+				}
+			}
+			check()
+			w.Store.Delete("servers/i-00000000000000ad")
+			check()
+			url := fmt.Sprintf("http://%s/remnants?dataCentre=%s&address=127.0.0.1:1", w.HostAddresses(1).Peer, localDataCentre)
+			resp, err := http.Get(url)
+			is.NoErr(err)
+			defer func() { is.NoErr(resp.Body.Close()) }()
+			var state struct{ Remnants json.RawMessage }
+			is.NoErr(json.NewDecoder(resp.Body).Decode(&state))
+			is.Equal(w.sendRequest(entryRoute, 100).Result, stub.Answered)
+		})
+	}
+}
+
 // TestFlowToServiceWithoutServersIsRefused checks the refusal of flows to a
 // service without servers. A host that has just started drops them instead,
 // since the entries may have expired during an outage of the store. After that,
