Ignore the address of an entry with an unknown service

Such an entry, complete otherwise and with a later start time, took the address of a server of a named service: that server got no new flows, and once its own entry had expired, its open flows on idempotent routes counted as replaced and were reset.

Fix: the document names the services; only entries of these own an address. A document without any names leaves it as it was.

TestEntryOfUnknownServiceOwnsNoAddress/agent fails before (<nil> != [a]).

--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -39,6 +39,8 @@
 	// routes maps addresses to the routes that were in the document within the
 	// last FlowLifetime.
 	routes map[netip.AddrPort]*routeRecord
+	// services are the names of the services in the document.
+	services []string
 	// nextChange is the earliest time at which the view may change without a
 	// change in the store, 0 if there is none.
 	nextChange time.Duration
@@ -98,6 +100,7 @@
 	}
 	if doc != nil {
 		v.DocumentVersion = doc.Version
+		b.services = doc.Services
 		b.updateRoutes(now, doc)
 	}
 	b.addServers(now, v)
@@ -200,14 +203,18 @@
 func (b *Builder) isReplaced(id string, addresses map[netip.AddrPort]string) bool {
 	r := b.servers[id]
 	owner := addresses[r.server.Address]
-	return !r.inStore && owner != id && b.servers[owner].inStore
+	return !r.inStore && owner != "" && owner != id && b.servers[owner].inStore
 }
 
 // addressOwners returns the ID of the server that owns each address. Servers in
-// the store take precedence over removed ones, then those that started later.
+// the store take precedence over removed ones, then those that started later. An
+// entry with a service that the document does not name is not that of a server.
 func (b *Builder) addressOwners() map[netip.AddrPort]string {
 	out := map[netip.AddrPort]string{}
 	for id, r := range b.servers {
+		if len(b.services) > 0 && !slices.Contains(b.services, r.server.Service) {
+			continue
+		}
 		owner := b.servers[out[r.server.Address]]
 		if owner == nil || hasAddressPriority(r, owner) {
 			out[r.server.Address] = id
--- a/pkg/fleet/builder_test.go
+++ b/pkg/fleet/builder_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/pkg/mark"
 )
 
 var (
@@ -113,6 +115,28 @@
 	is.Equal(len(v.ServersByMark), 2)
 }
 
+// TestEntryOfUnknownServiceOwnsNoAddress guards against an entry of another writer
+// that takes the address of a server: its service is none that operators have named.
+func TestEntryOfUnknownServiceOwnsNoAddress(t *testing.T) {
+	doc := document(1, "desk")
+	doc.Services = []string{"desk", "press"}
+	for _, tt := range []struct {
+		service string
+		want    []string
+	}{{"agent", []string{"a"}}, {"press", nil}} {
+		t.Run(tt.service, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBuilder(Settings{})
+			later := server("b", tt.service, "10.0.0.1:80", Ready)
+			later.Started = time.Unix(100, 0)
+			v := b.Build(0, 0, 1, doc, byID(server("a", "desk", "10.0.0.1:80", Ready), later))
+			assertUsable(is, v, "desk", tt.want...)
+			v = b.Build(time.Second, time.Second, 2, doc, byID(later))
+			is.Equal(v.ServersByMark[mark.Of("a")].Replaced, tt.want == nil)
+		})
+	}
+}
+
 func TestFormerServiceIsAllowedAfterRouteChange(t *testing.T) {
 	is := is.New(t)
 	b := NewBuilder(Settings{FlowLifetime: time.Minute})
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -84,6 +84,9 @@
 	// Version increases with each document.
 	Version uint64
 	Routes  []Route
+	// Services are the names of the services, including those without a route. If
+	// it is empty, servers of any service are valid.
+	Services []string
 }
 
 // RouteState is the state of a route in a view, including its former services.
