Check the messages of other hosts where they arrive

Seen: one reply of a peer to a host that starts, with a departed server without an address, and one packet with the mark of that server end the process (As4 called on IP zero value).

Cause: messages of other hosts were decoded into the types that the rest uses, and their ranges were checked by nobody. Evidence: the trace of the new test before the change, in batch.Writer.Add under traffic.forward.

Fix: the ranges of a server stand once, in fleet.Server.Validate, for entries of the store and for replies of peers. Digests, replies, state and pins are checked where they arrive; what is invalid is dropped, counted and logged at a limited rate, and the rest of the message counts.

Tests: TestMalformedReplyEndsNoHost ends the process before.

One run of the tests of internal/marked failed with these changes in the tree, its lines were lost; 5 runs since pass, four of them at the same time. Being traced.

--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -245,6 +245,7 @@
 		{`lagoonramp_store_errors_total`, &h.storeErrors},
 		{`lagoonramp_peer_fetches_total`, &h.fetches},
 		{`lagoonramp_peer_datagrams_total`, &h.digestsSent},
+		{`lagoonramp_peer_messages_malformed_total`, &h.malformedMessages},
 	} {
 		metrics.WriteCounterUint64(w, m.name, m.value.Load())
 	}
--- a/internal/marked/fetch.go
+++ b/internal/marked/fetch.go
@@ -31,6 +31,11 @@
 	started := h.now()
 	h.fetches.Add(1)
 	d, err := fetchState(h.client, from, h.storeRevision.Load())
+	if err == nil {
+		if err = validateDelta(d); err != nil {
+			h.rejectMessage(from.String(), err)
+		}
+	}
 	h.postToControl(func(c *control) {
 		if err != nil {
 			h.log.Warn("peers: state not fetched", zap.Stringer("peer", from), zap.Error(err))
--- a/internal/marked/fuzz_test.go
+++ b/internal/marked/fuzz_test.go
@@ -2,8 +2,15 @@
 
 import (
 	"encoding/json"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/fleet"
+	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/platform"
 )
 
 // FuzzHandleDigest checks that no datagram on the port of peers ends the process:
@@ -27,3 +34,86 @@
 		p.removeExpired(time.Hour)
 	})
 }
+
+// fuzzedPeer is the address of the host whose messages are fuzzed.
+var fuzzedPeer = netip.MustParseAddrPort("127.0.9.1:9")
+
+// newFuzzControl returns the control loop of a host with a document and a server.
+func newFuzzControl(t *testing.T) *control {
+	t.Helper()
+	p, c := newTestPeers(t, 1)
+	p.host.settings.Decoder = platform.Decoder{}
+	p.host.firstView = make(chan struct{})
+	c.decoded = map[string]decodedServer{}
+	c.builder = fleet.NewBuilder(fleet.Settings{})
+	c.rebuildTimer = time.NewTimer(time.Hour)
+	c.applyUpdate(update{delta: &mirror.Delta{Snapshot: true, Revision: 2, Items: []mirror.Item{
+		{Key: "op/config", Revision: 1, Value: []byte(`{"Version":1,"Routes":[{"Name":"a","Host":"198.18.0.1","Prefix":"/443/","Service":"desk"}]}`)},
+		{Key: "servers/i-1", Revision: 2, Value: []byte(`{"Service":"desk","Address":"10.0.0.9:80","Zone":"a","Version":"v","Concurrency":1,"State":"ready","WarmupLeftMs":0,"Sequence":1}`)},
+	}}})
+	return c
+}
+
+// checkView checks that packets can be sent to each server of the view, and that the
+// state for hosts that start can be encoded.
+func checkView(t *testing.T, c *control) {
+	t.Helper()
+	for m, s := range c.host.published.Load().view.ServersByMark {
+		if err := s.Validate(); err != nil || m == 0 {
+			t.Errorf("the view has an invalid server with mark %d: %v", m, err)
+		}
+	}
+	if _, err := json.Marshal(c.builder.RetainedState(c.host.now())); err != nil {
+		t.Error(err)
+	}
+}
+
+// FuzzMergeRetainedState checks that no reply of a peer to the query of a host that
+// starts ends the process, or leaves a server in the view that ends it with a later
+// packet.
+func FuzzMergeRetainedState(f *testing.F) {
+	f.Add([]byte(`{}`))
+	f.Add([]byte(`{"upFor":120000000000,"remnants":{"servers":[{"server":{"id":"i-7f3a91c2","token":2134544834,"service":"desk","slots":3,"state":0},"ago":1000000000}]}}`))
+	f.Add([]byte(`{"upFor":-1,"remnants":{"servers":[{"server":{"id":"x","service":"desk","address":"[::1]:9","slots":-3,"state":9,"warmFor":-1},"ago":-9}],"targets":[{"left":9}]},"known":[{"address":"x"},{"address":"1.2.3.4:0","age":-5}]}`))
+	f.Add([]byte(`{"remnants":{"servers":[{"server":{"id":"x","service":"desk","address":"1.2.3.4:9","slots":1,"started":"9999-12-31T23:59:59Z"}}],"targets":[{"route":"198.18.0.1:443","service":"x","left":9223372036854775807}]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var reply retainedStateReply
+		if json.Unmarshal(data, &reply) != nil {
+			return
+		}
+		c := newFuzzControl(t)
+		c.mergeRetainedState(fuzzedPeer, &reply)
+		c.buildView(c.host.now())
+		checkView(t, c)
+	})
+}
+
+// FuzzApplyPeerState checks the same for the state that a peer sends.
+func FuzzApplyPeerState(f *testing.F) {
+	f.Add([]byte(`{"revision":9,"whole":true,"items":[{"key":"servers/i-2","value":"e30=","revision":9}]}`))
+	f.Add([]byte(`{"revision":9,"floor":99,"items":[{"revision":18446744073709551615},{"key":"op/config","value":"e30=","revision":5,"deleted":true}],"age":-9223372036854775808}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d mirror.Delta
+		if json.Unmarshal(data, &d) != nil || validateDelta(&d) != nil {
+			return
+		}
+		c := newFuzzControl(t)
+		c.applyUpdate(update{delta: &d, confirmedRevision: d.Revision, confirmedAt: -d.Age, source: "peer"})
+		c.buildView(c.host.now())
+		checkView(t, c)
+	})
+}
+
+// FuzzServePins checks that no request with pins ends the process.
+func FuzzServePins(f *testing.F) {
+	f.Add(`[{"Key":{"Caller":"1.2.3.4:5","Service":"6.7.8.9:1"},"Mark":3},{"Key":{"Caller":"[::1]:5"}}]`)
+	f.Fuzz(func(t *testing.T, body string) {
+		p, _ := newTestPeers(t, 1)
+		p.host.servePins(httptest.NewRecorder(), httptest.NewRequest("POST", pinsPath, strings.NewReader(body)))
+		for _, pin := range p.host.traffic.receivedPins {
+			if err := validatePin(pin); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
--- a/internal/marked/marked_test.go
+++ b/internal/marked/marked_test.go
@@ -18,6 +18,7 @@
 
 	"lagoonramp.org/lagoonramp/internal/marked"
 	"lagoonramp.org/lagoonramp/internal/wire"
+	"lagoonramp.org/lagoonramp/pkg/mark"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/platform/stub"
 )
@@ -262,6 +263,41 @@
 	}
 }
 
+// TestMalformedReplyEndsNoHost guards against a process that a peer ends: its reply
+// to a host that starts names a server without an address (malformedPeer of the
+// review), and a packet with the mark of that server arrives.
+func TestMalformedReplyEndsNoHost(t *testing.T) {
+	is := is.New(t)
+	w := newTestbed(t)
+	const id = "i-7f3a91c2"
+	peer := w.HostAddresses(9).Peer
+	listener, err := net.Listen("tcp4", peer.String())
+	is.NoErr(err)
+	queried := make(chan struct{}, 100)
+	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/remnants" {
+			_, _ = rw.Write([]byte(`{"revision":0,"items":[{"revision":1}]}`))
+			return
+		}
+		queried <- struct{}{}
+		_, _ = fmt.Fprintf(rw, `{"upFor":120000000000,"remnants":{"servers":[{"server":{"id":%q,"service":"entry-desk","slots":3},"ago":1}],"targets":[{}]},"known":[{"address":""}]}`, id)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	w.startAndWait(1, 2)
+	from, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(w.HostAddresses(1).Peer))
+	is.NoErr(err)
+	_, err = fmt.Fprintf(from, `{"from":"h9","dataCentre":"sapporo","address":%q,"revision":99}`, peer)
+	is.NoErr(err)
+	<-queried
+	time.Sleep(500 * time.Millisecond) // The reply has been merged.
+	is.True(!w.Caller.SendMark(entryRoute, mark.Of(id)))
+	for range 20 {
+		is.Equal(w.sendRequest(entryRoute, 500).Result, stub.Answered)
+	}
+	w.checkLedger()
+}
+
 // TestFlowToServiceWithoutServersIsRefused checks the refusal of flows to a
 // service without servers. A host that has just started drops them instead,
 // since the entries may have expired during an outage of the store. After that,
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -152,7 +152,7 @@
 // It reports whether the host or its data centre is new. It ignores this host
 // and sightings that are older than peerTTL.
 func (p *peers) observeHost(now time.Duration, a netip.AddrPort, dataCentre string, seenAt time.Duration) bool {
-	if a == p.host.settings.PeerAddress || !a.IsValid() || now-seenAt >= peerTTL {
+	if a == p.host.settings.PeerAddress || !a.Addr().Is4() || a.Port() == 0 || now-seenAt >= peerTTL {
 		return false
 	}
 	id := peerID(a)
@@ -171,18 +171,21 @@
 
 // handleDigest handles a digest of another host.
 func (p *peers) handleDigest(now time.Duration, d *digest, c *control) {
-	a, err := netip.ParseAddrPort(d.Address)
-	if err != nil || a == p.host.settings.PeerAddress {
+	if err := d.validate(); err != nil {
+		p.host.rejectMessage(d.From, err)
+		return
+	}
+	a := netip.MustParseAddrPort(d.Address)
+	if a == p.host.settings.PeerAddress {
 		return
 	}
-	d.Age = max(0, d.Age) // A replica cannot be current in the future.
 	if p.observeHost(now, a, d.DataCentre, now) {
 		p.updateHostLists()
 	}
 	p.addKnownHosts(now, d.KnownHosts)
 	from := p.byID[peerID(a)]
 	if len(d.Pins) > 0 {
-		p.host.receivePins(d.Pins)
+		p.host.receivePins(d.From, d.Pins)
 	}
 	if from.name == "" || from.instance != d.Instance {
 		p.handleJoin(now, from, d, c)
@@ -334,7 +337,7 @@
 		}
 		var d digest
 		if err := json.Unmarshal(buf[:n], &d); err != nil {
-			p.host.log.Warn("peers: malformed datagram", zap.Stringer("peer", from), zap.Error(err))
+			p.host.rejectMessage(from.String(), err)
 			continue
 		}
 		p.host.postToControl(func(c *control) { p.handleDigest(p.host.now(), &d, c) })
--- a/internal/marked/pins.go
+++ b/internal/marked/pins.go
@@ -55,15 +55,12 @@
 	allPins
 )
 
-// receivePins queues valid pins of another host for the traffic loop. It is safe
+// receivePins queues the valid pins of another host for the traffic loop. It is safe
 // for concurrent use.
-func (h *Host) receivePins(pins []steer.Pin) {
-	valid := slices.DeleteFunc(slices.Clone(pins), func(p steer.Pin) bool {
-		return p.Mark == 0 || !p.Key.Caller.IsValid() || !p.Key.Service.IsValid()
-	})
-	added := h.traffic.addReceivedPins(valid)
-	if added < len(pins) {
-		h.sampledLog.Warn("pins: received pins dropped", zap.Int("invalid", len(pins)-len(valid)), zap.Int("queueFull", len(valid)-added))
+func (h *Host) receivePins(from string, pins []steer.Pin) {
+	valid := h.validPins(from, pins)
+	if added := h.traffic.addReceivedPins(valid); added < len(valid) {
+		h.sampledLog.Warn("pins: queue full, received pins dropped", zap.Int("pins", len(valid)-added))
 	}
 }
 
@@ -224,10 +221,11 @@
 func (h *Host) servePins(w http.ResponseWriter, r *http.Request) {
 	var pins []steer.Pin
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPinsRequestSize)).Decode(&pins); err != nil {
+		h.rejectMessage(r.RemoteAddr, err)
 		http.Error(w, "the body is not a list of pins", http.StatusBadRequest)
 		return
 	}
-	h.receivePins(pins)
+	h.receivePins(r.RemoteAddr, pins)
 	h.traffic.wake()
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -105,6 +105,7 @@
 	c.host.log.Info("peers: retained state fetched", zap.Stringer("peer", from), zap.Duration("upFor", reply.UpFor),
 		zap.Int("hosts", len(reply.KnownHosts)),
 		zap.Int("departedServers", len(reply.RetainedState.Servers)), zap.Int("formerTargets", len(reply.RetainedState.Targets)))
+	c.host.dropInvalid(from.String(), &reply.RetainedState)
 	if len(reply.RetainedState.Servers)+len(reply.RetainedState.Targets) == 0 {
 		return
 	}
--- a/pkg/fleet/retained.go
+++ b/pkg/fleet/retained.go
@@ -59,7 +59,7 @@
 // applies. The change takes effect in the next Build.
 func (b *Builder) MergeRetainedState(now time.Duration, r RetainedState) {
 	for _, d := range r.Servers {
-		ago := max(0, d.SinceRemoval)
+		ago := d.SinceRemoval
 		if b.servers[d.Server.ID] != nil || ago >= b.settings.FlowLifetime {
 			continue
 		}
