End the traffic loop of a host that stops without a view

Seen: a host whose store is down since its start is still there after SIGTERM, after its grace time and after a second SIGTERM.

Cause: the traffic loop waits for the first view before it reads its socket, and only the socket told it that the host stops. Ruled out: the watch loop (its calls end with its context) and the control loop.

Fix: the wait ends when the host stops.

--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -235,7 +235,7 @@
 	})
 	group.Go(c.peers.readLoop)
 	group.Go(func() { h.watchLoop(run) })
-	group.Go(func() { h.traffic.loop(h.firstView) })
+	group.Go(func() { h.traffic.loop(h.firstView, run.Done()) })
 	for l, server := range servers {
 		group.Go(func() {
 			if err := server.Serve(l); err != http.ErrServerClosed {
--- a/internal/marked/marked_test.go
+++ b/internal/marked/marked_test.go
@@ -298,6 +298,43 @@
 	w.checkLedger()
 }
 
+// TestHostStopsAtAnyStage guards against a process that outlives its shutdown timeout
+// (hangingStop of the review): it has no view, since the store does not serve it, or
+// gets no packets.
+func TestHostStopsAtAnyStage(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		fault  stub.Fault
+		uptime time.Duration
+		// abort ends the host at once, as a second signal does.
+		abort bool
+	}{
+		{"at once after its start", stub.Healthy, 0, false},
+		{"without packets", stub.Healthy, time.Second, false},
+		{"store unavailable", stub.Unavailable, time.Second, false},
+		{"store unavailable, second signal", stub.Unavailable, time.Second, true},
+		{"store does not answer", stub.Unresponsive, time.Second, false},
+		{"store does not answer, second signal", stub.Unresponsive, time.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestbed(t)
+			w.Store.SetFault(tt.fault)
+			h := w.addHost()
+			time.Sleep(tt.uptime)
+			h.shutDown()
+			if tt.abort {
+				h.abort()
+			}
+			select {
+			case <-h.done:
+			case <-time.After(testShutdownTimeout):
+				t.Error("the host has not stopped in time")
+			}
+		})
+	}
+}
+
 // TestFlowToServiceWithoutServersIsRefused checks the refusal of flows to a
 // service without servers. A host that has just started drops them instead,
 // since the entries may have expired during an outage of the store. After that,
--- a/internal/marked/testbed_test.go
+++ b/internal/marked/testbed_test.go
@@ -24,6 +24,9 @@
 // localDataCentre is the data centre of the callers and the servers.
 const localDataCentre = "sapporo"
 
+// testShutdownTimeout is the shutdown timeout of hosts.
+const testShutdownTimeout = 6 * time.Second
+
 // eventTimeout is the timeout of testbed.eventually.
 const eventTimeout = 20 * time.Second
 
@@ -156,7 +159,7 @@
 	settings := &marked.Settings{
 		Name: fmt.Sprintf("h%d", n), DataCentre: cmp.Or(w.dataCentres[n], localDataCentre),
 		PacketAddress: at.Packets, ReadinessAddress: at.Ready, PeerAddress: at.Peer, AdminAddress: at.Admin.String(), Seeds: []netip.AddrPort{w.HostAddresses(1).Peer},
-		FlowLifetime: time.Minute, ShutdownTimeout: 6 * time.Second, DroppedLogLines: func() uint64 { return 0 },
+		FlowLifetime: time.Minute, ShutdownTimeout: testShutdownTimeout, DroppedLogLines: func() uint64 { return 0 },
 		Codec: platform.Codec{}, Store: h.store, Decoder: platform.Decoder{}, ReadinessHandler: platform.ReadinessHandler,
 	}
 	var err error
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -176,12 +176,15 @@
 
 // loop forwards packets until the socket is closed. Before firstView is closed,
 // packets queue in the socket and are discarded at intervals, so that none is
-// queued for longer than a caller waits for an answer.
-func (t *traffic) loop(firstView <-chan struct{}) {
+// queued for longer than a caller waits for an answer. If stopped is closed before
+// that, the loop ends.
+func (t *traffic) loop(firstView, stopped <-chan struct{}) {
 	for waiting := true; waiting; {
 		select {
 		case <-firstView:
 			waiting = false
+		case <-stopped:
+			return
 		case <-time.After(discardInterval):
 			t.discardQueued()
 		}
