Return no server with an invalid entry

Found by TestOddEntriesStopNoHost/huge_start_time, which failed in one of 6 runs of the package, and in 17 of 36 runs alone: the host logs "year outside of range" after "the start time is out of range".

--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -258,11 +258,12 @@
 	}
 	s, ok, err := c.host.settings.Decoder.Server(i)
 	if ok {
-		c.decoded[i.Key] = decodedServer{revision: i.Revision, server: s}
 		if err != nil {
+			c.decoded[i.Key] = decodedServer{revision: i.Revision}
 			c.host.sampledLog.Warn("control: invalid server entry", zap.String("key", i.Key), zap.Error(err))
 			return
 		}
+		c.decoded[i.Key] = decodedServer{revision: i.Revision, server: s}
 		servers[s.ID] = s
 		return
 	}
