--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -243,6 +243,7 @@
 		{`lagoonramp_flows_refused_total`, &c.Refused},
 		{`lagoonramp_store_calls_total`, &h.storeCalls},
 		{`lagoonramp_store_errors_total`, &h.storeErrors},
+		{`lagoonramp_store_snapshots_total`, &h.snapshotReads},
 		{`lagoonramp_peer_fetches_total`, &h.fetches},
 		{`lagoonramp_peer_datagrams_total`, &h.digestsSent},
 		{`lagoonramp_peer_messages_malformed_total`, &h.malformedMessages},
--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -35,9 +35,10 @@
 	// ParseOwnKey returns the key of an item without the prefix of lagoonramp's
 	// own keys; ok is false if the key does not have the prefix.
 	ParseOwnKey(i mirror.Item) (key string, ok bool)
-	// HistoryLost reports whether an error means that the store no longer has
-	// the changes after the requested revision.
-	HistoryLost(err error) bool
+	// NeedsSnapshot reports whether the error of a watch means that the changes
+	// after its revision cannot be had: the store no longer has them, or its answer
+	// cannot be read.
+	NeedsSnapshot(err error) bool
 }
 
 const (
--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -116,7 +116,7 @@
 	// watchWake wakes the watch loop when shouldWatch is set.
 	watchWake chan struct{}
 
-	storeCalls, storeErrors, fetches, digestsSent, malformedMessages atomic.Uint64
+	storeCalls, storeErrors, snapshotReads, fetches, digestsSent, malformedMessages atomic.Uint64
 
 	// firstView is closed when the host has a view with an operators' document.
 	firstView chan struct{}
--- a/internal/marked/marked_test.go
+++ b/internal/marked/marked_test.go
@@ -335,6 +335,35 @@
 	}
 }
 
+// TestStormOfLargeDocumentsIsFollowed guards against hosts that stay behind for good
+// (review/1): documents follow each other so fast that the answer of a watch, which
+// has each of them, is too long to be read.
+func TestStormOfLargeDocumentsIsFollowed(t *testing.T) {
+	const (
+		versions = 12
+		routes   = 4000
+		bound    = 3 * time.Second
+	)
+	is := is.New(t)
+	w := newTestbed(t)
+	w.startAndWait(2, 2)
+	document := []stub.Route{{Address: entryRoute, Service: "entry-desk"}}
+	for i := range routes {
+		a := netip.AddrFrom4([4]byte{198, 19, byte(i >> 8), byte(i)})
+		document = append(document, stub.Route{Address: netip.AddrPortFrom(a, 443), Service: "entry-desk"})
+	}
+	for range versions {
+		w.version++
+		w.PutDocument(w.version, document...)
+		time.Sleep(50 * time.Millisecond)
+	}
+	last := time.Now()
+	for _, h := range w.hosts {
+		w.eventually("a host has the last document", func() bool { return h.DocumentVersion() == uint64(w.version) })
+	}
+	is.True(time.Since(last) < bound)
+}
+
 // TestFlowToServiceWithoutServersIsRefused checks the refusal of flows to a
 // service without servers. A host that has just started drops them instead,
 // since the entries may have expired during an outage of the store. After that,
--- a/internal/marked/watch.go
+++ b/internal/marked/watch.go
@@ -46,8 +46,8 @@
 			}
 		case ctx.Err() != nil:
 			return
-		case h.settings.Decoder.HistoryLost(err):
-			h.log.Info("watch: the store's history is lost, reading a snapshot")
+		case !isFirst && !h.needsSnapshot.Load() && h.settings.Decoder.NeedsSnapshot(err):
+			h.log.Info("watch: changes cannot be had, reading a snapshot", zap.Uint64("revision", h.storeRevision.Load()), zap.Error(err))
 			h.needsSnapshot.Store(true)
 		case errors.Is(err, context.DeadlineExceeded):
 			// The answer is probably lost, so retry without delay.
@@ -74,6 +74,7 @@
 	}
 	d := &mirror.Delta{Snapshot: revision == 0 || h.needsSnapshot.Load()}
 	if d.Snapshot {
+		h.snapshotReads.Add(1)
 		d.Items, d.Revision, err = h.settings.Store.Read(ctx, func(part []mirror.Item) { h.callControl(func(c *control) { c.addPreview(part) }) })
 	} else {
 		d.Items, d.Revision, err = h.settings.Store.Watch(ctx, revision, wait, grace)
