Reset open flows only by evidence about their own server

Callers saw: when all servers of one service in a data centre crashed, flows to live servers of another service there were reset 0.3 s later.

Cause: eleven unreachable servers made the data centre unreachable, and all its open flows were reset; the servers probed for that are those that answered last, so those of the busy service.

Fix: a reset needs a failed probe of the flow's own server, or another server at its address. An unreachable data centre keeps new flows away, and its servers with open flows are probed, at once and with later data.

TestUnreachableDataCentre/resets_no_flow_of_a_server_that_answers_its_probe fails before. Its case "after several of its servers" asserted the reset of a flow to a server that nobody had probed, which is the fault; it now asserts that the flow goes on, that its server is probed, and that it is reset when that fails, as strictly. TestOpenFlowsSurviveLossOfDataCentre holds: all requests are served.

--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -33,6 +33,9 @@
 		t.requestProbe(now, s)
 		return Verdict{Action: ResetFlow, Server: s, Reason: Unreachable}
 	}
+	if p.Length > 0 && t.isCentreUnreachable(now, s.DataCentre) {
+		t.requestProbe(now, s)
+	}
 	return v
 }
 
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -21,7 +21,9 @@
 // be slow. A server is unreachable if a probe fails while another server, the
 // reference, is reached in less time, and the server has not answered any packet
 // since the probe began. A data centre is unreachable if that holds for several
-// of its servers, among them those that answered last.
+// of its servers, among them those that answered last. New flows avoid it, but that
+// alone resets no flow: all servers of one service may have crashed while those of
+// another one live. Each server with open flows is probed itself.
 
 const (
 	// minSilence is the least time between the first transmission of data and a
@@ -119,15 +121,25 @@
 	return c
 }
 
-// isUnreachable reports whether a server does not receive packets.
+// isUnreachable reports whether a server probably does not receive packets, by
+// what is known of it or of its data centre.
 func (t *Table) isUnreachable(now time.Duration, s *fleet.Server) bool {
+	return t.isShownUnreachable(now, s) || t.isCentreUnreachable(now, s.DataCentre)
+}
+
+// isShownUnreachable reports whether a server does not receive packets, by what is
+// known of the server itself.
+func (t *Table) isShownUnreachable(now time.Duration, s *fleet.Server) bool {
 	if s.Replaced {
 		return true
 	}
-	if h := t.health[s.Mark]; h != nil && now < h.reachability.unreachableUntil {
-		return true
-	}
-	c := t.centres[s.DataCentre]
+	h := t.health[s.Mark]
+	return h != nil && now < h.reachability.unreachableUntil
+}
+
+// isCentreUnreachable reports whether a data centre counts as unreachable.
+func (t *Table) isCentreUnreachable(now time.Duration, dataCentre string) bool {
+	c := t.centres[dataCentre]
 	return c != nil && now < c.unreachableUntil
 }
 
@@ -303,10 +315,12 @@
 		return
 	}
 	if len(others) == 0 && silent > 1 || silent >= minSilentServers+centreProbes {
-		if now >= c.unreachableUntil {
-			t.queueResets(func(s *fleet.Server) bool { return s.DataCentre == dataCentre })
-		}
 		c.unreachableUntil = now + unreachableHold
+		for _, s := range others {
+			if t.mayProbe(now, s) && t.hasResettable(s.Mark) {
+				t.requestProbe(now, s)
+			}
+		}
 		return
 	}
 	slices.SortFunc(others, func(a, b *fleet.Server) int {
@@ -359,7 +373,7 @@
 // it. If no server is reachable, it is more likely that this host is cut off.
 func (t *Table) canReset(now time.Duration, k Key, s *fleet.Server) bool {
 	route := t.view.Routes[k.Service]
-	if route == nil || !route.Idempotent || !t.isUnreachable(now, s) {
+	if route == nil || !route.Idempotent || !t.isShownUnreachable(now, s) {
 		return false
 	}
 	for _, target := range route.Targets {
