Soak: pauses, lone hosts, other writers, storms and stops at starts

New: flows that pause for up to 13 s, whose callers lose a fifth of their SYN+ACKs; one seed in three has a data centre with one host; odd entries of another writer, among them one about a live server in another spelling; storms of large documents; SIGTERM within 300 ms of a host's start; a host that is asked to stop has to end within its grace time, at every stop.

A paused flow may break only if a server was lost, or a host was killed or paused, during its life: its pin may not have been announced. All other checks are as before, and apply to the callers that lose nothing.

The test of the rolling restart logs its course if it fails.

--- a/internal/marked/marked_test.go
+++ b/internal/marked/marked_test.go
@@ -472,23 +472,31 @@
 	time.Sleep(time.Second) // Routers and hosts know that all are ready.
 	var down sync.Map       // The names of the hosts whose processes have ended.
 	var lost atomic.Int64
+	begin := time.Now()
+	trace := newTrace(t, begin)
 	w.Router.OnRoute = func(host string) {
 		if _, ok := down.Load(host); ok {
-			lost.Add(1)
+			if lost.Add(1) == 1 {
+				trace.add("first packet to %s, which is down", host)
+			}
 		}
 	}
+	w.Router.OnRotation(func(host string, inRotation bool) { trace.add("routers: %s in rotation: %v", host, inRotation) })
 	stop := make(chan struct{})
 	wait := w.startLoad(8, 20_000, stop)
 	var group sync.WaitGroup
 	for i, h := range w.hosts[:3:3] {
-		h.shutDown()
 		name := fmt.Sprintf("h%d", i+1)
+		trace.add("%s asked to stop", name)
+		h.shutDown()
 		group.Go(func() {
 			<-h.done
+			trace.add("%s ended", name)
 			down.Store(name, true)
 			time.Sleep(processStartDelay)
 			w.startKnownHost(i + 1)
 			down.Delete(name)
+			trace.add("%s started", name)
 		})
 		time.Sleep(restartInterval)
 	}
--- a/internal/marked/testbed_test.go
+++ b/internal/marked/testbed_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -272,6 +273,32 @@
 	}
 }
 
+// trace records what happens during a test, and logs it if the test fails.
+type trace struct {
+	mu    sync.Mutex
+	begin time.Time
+	lines []string
+}
+
+func newTrace(t *testing.T, begin time.Time) *trace {
+	tr := &trace{begin: begin}
+	t.Cleanup(func() {
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		if t.Failed() {
+			t.Log(strings.Join(tr.lines, "\n"))
+		}
+	})
+	return tr
+}
+
+// add records a line with the time since the beginning.
+func (tr *trace) add(format string, args ...any) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.lines = append(tr.lines, fmt.Sprintf("%6.3f s ", time.Since(tr.begin).Seconds())+fmt.Sprintf(format, args...))
+}
+
 // checkLedger checks that no server received a forged packet or a packet for
 // another server.
 func (w *testbed) checkLedger() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -76,7 +76,9 @@
 		s.SetSlowdown(1)
 	}, true},
 	{"change the document", func(t *testbed, _ time.Duration) { t.writeDocument(!t.optionalRouteExists()) }, true},
-	{"malformed registration", func(t *testbed, _ time.Duration) { t.Store.Put("servers/i-0bad", []byte(`{"Service":1`)) }, true},
+	{"entry of another writer", (*testbed).writeOddEntry, true},
+	{"storm of large documents", (*testbed).writeStorm, true},
+	{"stop a starting host", (*testbed).stopStartingHost, true},
 }
 
 // injectFaults starts faults on the seeded schedule for the duration of the soak
@@ -158,13 +160,30 @@
 	t.restartMu.Lock()
 	defer t.restartMu.Unlock()
 	h := t.randomHost()
-	h.signal(syscall.SIGCONT)
-	h.signal(sig)
-	h.wait()
+	if sig == syscall.SIGTERM {
+		h.stop(t)
+	} else {
+		t.recordHostLoss()
+		h.signal(syscall.SIGCONT)
+		h.signal(sig)
+		h.wait()
+	}
 	time.Sleep(downtime)
 	if err := h.start(t); err != nil {
 		t.recordFinding("a host does not start: %v", err)
 	}
+	t.waitAllInRotation()
+}
+
+// recordHostLoss records that a host is killed or paused.
+func (t *testbed) recordHostLoss() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastHostLoss = time.Now()
+}
+
+// waitAllInRotation waits until the routers use all hosts.
+func (t *testbed) waitAllInRotation() {
 	for deadline := time.Now().Add(10 * time.Second); t.Router.HostsInRotation() < len(t.hosts); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			return // The store may be unavailable; checkRecovery checks again.
@@ -179,6 +198,7 @@
 	h := t.randomHost()
 	h.signal(syscall.SIGSTOP)
 	time.Sleep(d)
+	t.recordHostLoss()
 	h.signal(syscall.SIGCONT)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,6 +64,9 @@
 		group.Go(func() { t.callLoop(address, i) })
 		group.Go(func() { t.openFlowLoop(address, i) })
 	}
+	for i := range pausedFlows {
+		group.Go(func() { t.pausedFlowLoop(i) })
+	}
 	group.Go(t.optionalRouteLoop)
 	group.Go(t.versionLoop)
 	group.Go(t.overloadLoop)
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -35,6 +35,15 @@
 	Log io.Writer
 }
 
+const (
+	// localDataCentre is the data centre of the callers and the servers.
+	localDataCentre  = "sapporo"
+	remoteDataCentre = "yoichi"
+	// loneHostSeeds: in one of so many seeds, only one host is in the callers' data
+	// centre.
+	loneHostSeeds = 3
+)
+
 var (
 	entryDeskAddress      = netip.MustParseAddrPort("198.18.0.1:443")
 	cataloguePressAddress = netip.MustParseAddrPort("198.18.0.2:443")
@@ -46,12 +55,16 @@
 // soak run.
 type testbed struct {
 	*stub.Platform
-	settings  Settings
-	rng       *rand.Rand
-	dir       string
-	hosts     []*hostProcess
-	startedAt time.Time
-	stopped   atomic.Bool
+	settings Settings
+	rng      *rand.Rand
+	// networkRand draws which datagrams are lost, and pausing is the caller that
+	// loses them.
+	networkRand *rand.Rand
+	pausing     *stub.Caller
+	dir         string
+	hosts       []*hostProcess
+	startedAt   time.Time
+	stopped     atomic.Bool
 
 	mu             sync.Mutex
 	servers        map[string]*testServer
@@ -70,9 +83,12 @@
 	// lastServerLoss is the time at which a server was last removed, or the time
 	// at which the latest unresponsive server answers again.
 	lastServerLoss time.Time
-	findings       []string
-	resultCounts   map[stub.Result]int
-	requestCount   atomic.Int64
+	// lastHostLoss is the time at which a host was last killed or continued after a
+	// pause.
+	lastHostLoss time.Time
+	findings     []string
+	resultCounts map[stub.Result]int
+	requestCount atomic.Int64
 	// restartMu is held while a host is down or paused, so that only one is at a
 	// time.
 	restartMu sync.Mutex
@@ -110,7 +126,7 @@
 // newTestbed starts a platform, the servers and the hosts.
 func newTestbed(settings Settings) (*testbed, error) {
 	t := &testbed{
-		settings: settings, rng: rand.New(rand.NewPCG(settings.Seed, 1)), startedAt: time.Now(),
+		settings: settings, rng: rand.New(rand.NewPCG(settings.Seed, 1)), networkRand: rand.New(rand.NewPCG(settings.Seed, 3)), startedAt: time.Now(),
 		servers: map[string]*testServer{}, resultCounts: map[stub.Result]int{},
 	}
 	var err error
@@ -120,6 +136,9 @@
 	if t.Platform, err = stub.StartPlatform(byte(20 + settings.Seed%200)); err != nil {
 		return nil, err
 	}
+	if err := t.startPausingCaller(); err != nil {
+		return nil, err
+	}
 	t.Ledger.OnSYN(t.checkNewFlow)
 	t.writeDocument(false)
 	for i := range settings.Servers {
@@ -149,7 +168,7 @@
 		address = t.ServerAddress(t.serversCreated)
 	}
 	s := &testServer{address: address, Server: &stub.Server{
-		ID: fmt.Sprintf("i-%02x%06x", t.settings.Seed%256, t.serversCreated), Service: service, DataCentre: "sapporo", Slots: 3,
+		ID: fmt.Sprintf("i-%02x%06x", t.settings.Seed%256, t.serversCreated), Service: service, DataCentre: localDataCentre, Slots: 3, DropSYNACK: t.losesSYNACK,
 	}}
 	if err := t.AddServer(s.Server, address); err != nil {
 		return err
@@ -158,9 +177,9 @@
 	return nil
 }
 
-// writeDocument writes a new version of the document, with or without the
-// optional route.
-func (t *testbed) writeDocument(withOptionalRoute bool) {
+// writeDocument writes a new version of the document, with or without the optional
+// route, and with more routes.
+func (t *testbed) writeDocument(withOptionalRoute bool, more ...stub.Route) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.documentVersion += 1 + t.rng.IntN(3)
@@ -171,7 +190,7 @@
 	if withOptionalRoute {
 		routes = append(routes, stub.Route{Address: optionalAddress, Service: "entry-desk"})
 	}
-	t.PutDocument(t.documentVersion, routes...)
+	t.PutDocument(t.documentVersion, append(routes, more...)...)
 	if withOptionalRoute != t.hasOptionalRoute {
 		t.hasOptionalRoute, t.optionalRouteChangedAt = withOptionalRoute, time.Now()
 	}
@@ -186,7 +205,11 @@
 	if p.proxy, err = startProxy(t.StoreAddress); err != nil {
 		return eris.Wrap(err, "start the store proxy of a host")
 	}
-	settings := setup.Settings{Name: p.name, DataCentre: "sapporo", Marked: &setup.Marked{
+	dataCentre, routerCentre := localDataCentre, ""
+	if number > 1 && t.settings.Seed%loneHostSeeds == 0 {
+		dataCentre, routerCentre = remoteDataCentre, remoteDataCentre
+	}
+	settings := setup.Settings{Name: p.name, DataCentre: dataCentre, Marked: &setup.Marked{
 		Packets: addresses.Packets.String(), Ready: addresses.Ready.String(), Peer: addresses.Peer.String(), Admin: p.admin,
 		Store: p.proxy.address(), Seeds: []string{t.HostAddresses(1).Peer.String()},
 	}}
@@ -199,7 +222,7 @@
 		return eris.Wrap(err, "write the settings of a host")
 	}
 	t.hosts = append(t.hosts, p)
-	t.AddToRouters(p.name, addresses)
+	t.Router.Add(stub.Host{Name: p.name, DataCentre: routerCentre, Packets: addresses.Packets, Ready: addresses.Ready})
 	return p.start(t)
 }
 
@@ -245,5 +268,6 @@
 	for _, s := range t.servers {
 		s.Crash()
 	}
+	t.pausing.Close()
 	t.Platform.Close()
 }
--- /dev/null
+++ b/internal/soak/writers.go
@@ -0,0 +1,58 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"lagoonramp.org/lagoonramp/platform/stub"
+)
+
+const (
+	// stormVersions is the number of large documents that follow each other at
+	// intervals of stormInterval, each with stormRoutes more routes. Together they
+	// exceed what a host reads as one answer.
+	stormVersions = 14
+	stormInterval = 40 * time.Millisecond
+	stormRoutes   = 3500
+)
+
+// writeStorm writes large documents in quick succession.
+func (t *testbed) writeStorm(time.Duration) {
+	routes := make([]stub.Route, 0, stormRoutes)
+	for i := range stormRoutes {
+		a := netip.AddrFrom4([4]byte{198, 19, byte(i >> 8), byte(i)})
+		routes = append(routes, stub.Route{Address: netip.AddrPortFrom(a, 443), Service: "entry-desk"})
+	}
+	for range stormVersions {
+		t.writeDocument(t.optionalRouteExists(), routes...)
+		time.Sleep(stormInterval)
+	}
+	t.writeDocument(!t.optionalRouteExists())
+}
+
+// writeOddEntry writes an entry of another writer among those of the servers: one
+// that cannot be read, or one about a server whose fields are spelled otherwise and
+// that claims to have started later.
+func (t *testbed) writeOddEntry(d time.Duration) {
+	s := t.randomServer()
+	entry := s.Entry("ready")
+	odd := [][]byte{
+		[]byte(`{"Service":1`),
+		[]byte(strings.Repeat("[", 100_000)),
+		bytes.Replace(entry, []byte(`"v1"`), []byte(strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)), 1),
+		bytes.Replace(entry, []byte(`"born":`), []byte(`"born":922337`), 1),
+		bytes.Replace(entry, []byte(`"Concurrency":`), []byte(`"Concurrency":9999999999999999999`), 1),
+		bytes.Replace(entry, []byte(s.address), []byte("127.0.0.1:70000"), 1),
+		bytes.Replace(entry, []byte(`"Service":"`), []byte(`"Service":"agent-`), 1),
+		bytes.Replace(bytes.ToLower(entry), []byte(`"born":1`), []byte(`"born":2`), 1),
+	}
+	key := fmt.Sprintf("servers/agent-%s", strings.TrimPrefix(s.ID, "i-"))
+	t.Store.Put(key, odd[t.randomIntN(len(odd))])
+	time.Sleep(d)
+	if t.randomIntN(2) == 0 {
+		t.Store.Delete(key)
+	}
+}
