Wait for a host that has just stopped before stopping as well

Seen: packets to hosts that are down while the three hosts of a data centre are restarted in turn.

Cause: a race in the product. A host that is asked to stop does not wait if no other host is ready. It had not heard yet that a restarted host is ready again, and another one had stopped 40 ms before; so two of three stopped at once, and routers used all hosts, those that are down too. Ruled out: a race in the test, and the maximum wait (0.9 s had passed of 3.4 s).

Fix: "no other host is ready" counts only if none reported within MaxWait that it is. A host that is alone, or whose others have been gone for longer, stops at once as before.

TestTwoHostsDoNotStopAtOnce fails before.

--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -33,6 +33,8 @@
 	// readySince and stopRequestedAt hold times by this host's clock. They have
 	// no entry for a host that is not ready or was not asked to stop.
 	readySince, stopRequestedAt map[uint64]time.Duration
+	// lastReadyAt is when a host last reported that it is ready.
+	lastReadyAt map[uint64]time.Duration
 	// reported is the set of hosts that sent a report.
 	reported map[uint64]bool
 }
@@ -47,13 +49,17 @@
 	}
 	return &Coordinator{
 		settings: settings, self: self,
-		readySince: map[uint64]time.Duration{}, stopRequestedAt: map[uint64]time.Duration{}, reported: map[uint64]bool{},
+		readySince: map[uint64]time.Duration{}, stopRequestedAt: map[uint64]time.Duration{}, lastReadyAt: map[uint64]time.Duration{},
+		reported: map[uint64]bool{},
 	}
 }
 
 // RecordReport records a report of another host of the data centre, received at now.
 func (c *Coordinator) RecordReport(now time.Duration, host uint64, r Report) {
 	c.reported[host] = true
+	if r.ReadyFor > 0 {
+		c.lastReadyAt[host] = now
+	}
 	setStartTime(c.readySince, host, now, r.ReadyFor)
 	setStartTime(c.stopRequestedAt, host, now, r.SinceStopRequest)
 }
@@ -73,13 +79,15 @@
 	delete(c.reported, host)
 	delete(c.readySince, host)
 	delete(c.stopRequestedAt, host)
+	delete(c.lastReadyAt, host)
 }
 
 // MayBecomeUnready reports whether this host, which was asked to stop at
 // stopRequestedAt, may report now that it is not ready. It may if, of all hosts
 // including this one, at least half have been ready for DetectionDelay and do not
-// stop before this host. It also may if no other host is ready, or if MaxWait has
-// passed.
+// stop before this host. It also may if no other host is ready or was within
+// MaxWait, since one that has just stopped may return, or if MaxWait has passed since
+// the request.
 func (c *Coordinator) MayBecomeUnready(now, stopRequestedAt time.Duration) bool {
 	if now-stopRequestedAt >= c.settings.MaxWait {
 		return true
@@ -96,7 +104,17 @@
 		}
 	}
 	total := len(c.reported) + 1
-	return ready == 0 || 2*remaining >= total
+	return ready == 0 && !c.wasReady(now) || 2*remaining >= total
+}
+
+// wasReady reports whether another host reported within MaxWait that it is ready.
+func (c *Coordinator) wasReady(now time.Duration) bool {
+	for _, at := range c.lastReadyAt {
+		if now-at < c.settings.MaxWait {
+			return true
+		}
+	}
+	return false
 }
 
 // stopsBefore reports whether another host was asked to stop before this one,
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -200,3 +200,22 @@
 		})
 	}
 }
+
+// TestTwoHostsDoNotStopAtOnce guards against two hosts that become unready at the
+// same time: the second one has not heard yet that a third, which was restarted, is
+// ready again, and takes itself for the only one left. Routers then use the hosts
+// that are down.
+func TestTwoHostsDoNotStopAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := NewCoordinator(99, Settings{})
+	const asked = time.Minute
+	c.RecordReport(0, 1, Report{ReadyFor: time.Minute})
+	c.RecordReport(10*time.Second, 1, Report{SinceStopRequest: time.Second}) // It is being restarted.
+	c.RecordReport(asked, 2, Report{ReadyFor: time.Minute, SinceStopRequest: time.Second})
+	c.RecordReport(asked+ms, 2, Report{SinceStopRequest: time.Second + ms})
+	is.True(!c.MayBecomeUnready(asked+2*ms, asked))
+	c.RecordReport(asked+500*ms, 1, Report{ReadyFor: time.Second})
+	is.True(!c.MayBecomeUnready(asked+500*ms, asked)) // One of three would remain.
+	c.RecordReport(asked+time.Second, 2, Report{ReadyFor: time.Second})
+	is.True(c.MayBecomeUnready(asked+time.Second, asked))
+}
