Hand over the pin of a flow whose first SYN went elsewhere

Course, as far as the logs show: the flow opened while h2 was stopping for the second time. No host sent its SYN to a second server, so two hosts each sent it to one: h2, and one of the others with the caller's retransmission. The other host saw it open. h2 came back 0.5 s later, the flow moved to it, no pin of it was handed over, and h2 adopted it with the mark of the wrong server. Ruled out: a lost hand-over (the two others handed pins over to h2, after both of its starts) and a kill or pause.

Cause: a host counted a flow among those with two answers if it had sent the SYN to two servers itself, or had seen two marks. A SYN that is first seen as a retransmission may have reached another server through another host.

Fix: such flows have pins as well; they are handed over, and announced when they open while routers may move flows.

TestFlowOfRetransmittedSYNHasPin fails before (nil != one pin).

--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -96,8 +96,12 @@
 	return f.sequence == sequence || f.adopted && f.sequence == sequence+1
 }
 
-// isSplit reports whether more than one server is known to have received the SYN.
-func (f *flow) isSplit() bool { return f.tries > 1 || f.pinAnnounced }
+// isSplit reports whether more than one server has probably received the SYN: this
+// host sent it to two, another one received the first SYN and this one a later one,
+// or two servers answered.
+func (f *flow) isSplit() bool {
+	return f.tries > 1 || f.pinAnnounced || f.synsSeen < 0 && !f.adopted
+}
 
 // mayBeSplit reports whether more than one server may have received the SYN: this
 // host or another one may have sent it to a second one.
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -149,7 +149,7 @@
 // the handshake if the SYN was sent to this server only, and 0 otherwise.
 func (t *Table) recordOpen(now time.Duration, f *flow, s *fleet.Server) time.Duration {
 	f.pinnedMark = s.Mark
-	if f.tries > 1 && now < t.reroutingEnd {
+	if f.isSplit() && now < t.reroutingEnd {
 		// The flow may be rerouted before a packet shows that both servers
 		// answered.
 		t.announcePin(f)
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -534,6 +534,24 @@
 	is.Equal(received, []Pin{{Key: key(3), Mark: 2}})
 }
 
+// TestFlowOfRetransmittedSYNHasPin guards against an open flow whose pin is not handed
+// over, which soak seed 7019 found: its first SYN went through a host that was
+// stopping, a later one through this host, so two servers may answer, although this
+// host has sent the SYN to one and seen the mark of one.
+func TestFlowOfRetransmittedSYNHasPin(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(1, "a", "b")
+	table.testSYN(0, 1, 1)
+	table.testData(ms, 1, 1, 7, 10)
+	own, _ := table.Pins()
+	is.Equal(own, []Pin{{Key: key(1), Mark: 1}})
+	is.Equal(table.TakePins(), nil) // Not announced yet.
+	table.ExpectRerouting(time.Second)
+	table.testSYN(2*ms, 2, 1)
+	table.testData(3*ms, 2, 1, 7, 10)
+	is.Equal(table.TakePins(), []Pin{{Key: key(2), Mark: 1}})
+}
+
 // TestTimeoutTriesOneOtherServer checks that a SYN goes to two servers at most
 // until its caller retransmits it. If the flow has moved to another host, all
 // servers that this host takes for unresponsive would answer.
