Decode evacuations, cold-server limits and priorities; interfaces of the parts

Cause: nothing read the keys by which operators evacuate a data centre, nor the limits on cold servers and the priorities of routes in the operators' document.

Change: the adapter decodes them into fleet.Service, Route.Priority, Server.Sequence and the set of evacuated data centres; servers of an evacuated data centre are not usable for new flows. The settings have warmupOverage and warmupSlack. Limits and priorities have no effect yet.

--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -32,6 +32,9 @@
 	// Document decodes the operators' document; ok is false if the item is not
 	// the document.
 	Document(i mirror.Item) (d *fleet.Document, ok bool, err error)
+	// Evacuation returns the data centre whose evacuation the item requests; ok is
+	// false if the item does not request one.
+	Evacuation(i mirror.Item) (dataCentre string, ok bool)
 	// ParseOwnKey returns the key of an item without the prefix of lagoonramp's
 	// own keys; ok is false if the key does not have the prefix.
 	ParseOwnKey(i mirror.Item) (key string, ok bool)
@@ -195,7 +198,15 @@
 // buildView builds a view from the known items and publishes it.
 func (c *control) buildView(now time.Duration) {
 	servers := map[string]*fleet.Server{}
-	c.forEachItem(func(i mirror.Item) { c.decodeItem(i, servers) })
+	evacuated := map[string]bool{}
+	c.forEachItem(func(i mirror.Item) {
+		if dataCentre, ok := c.host.settings.Decoder.Evacuation(i); ok {
+			evacuated[dataCentre] = true
+			return
+		}
+		c.decodeItem(i, servers)
+	})
+	c.builder.SetEvacuated(evacuated)
 	previous := c.documentVersion
 	view := c.builder.Build(now, now-c.replica.Age(now), c.replica.Revision(), c.document, servers)
 	if c.documentVersion = view.DocumentVersion; c.documentVersion != previous {
--- a/internal/setup/marked.go
+++ b/internal/setup/marked.go
@@ -33,6 +33,12 @@
 	// Grace is the time that the process has to shut down after SIGTERM. The
 	// default is 6 s.
 	Grace conf.Duration `json:"grace,omitempty"`
+	// WarmupOverage and WarmupSlack bound the requests that a cold server may get
+	// in one second, from all hosts together: its rate times WarmupOverage, plus
+	// WarmupSlack. The rate is set in the operators' document. The default of
+	// WarmupOverage is 1, that of WarmupSlack 0.
+	WarmupOverage float64 `json:"warmupOverage,omitempty"`
+	WarmupSlack   float64 `json:"warmupSlack,omitempty"`
 }
 
 const (
@@ -53,6 +59,12 @@
 	if m.FlowLifetime < 0 {
 		c.addFault("marked.flowLifetime", "it must not be negative")
 	}
+	if m.WarmupOverage < 0 {
+		c.addFault("marked.warmupOverage", "it must not be negative")
+	}
+	if m.WarmupSlack < 0 {
+		c.addFault("marked.warmupSlack", "it must not be negative")
+	}
 	if m.Grace < 0 {
 		c.addFault("marked.grace", "it must not be negative")
 	}
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -39,8 +39,10 @@
 	// routes maps addresses to the routes that were in the document within the
 	// last FlowLifetime.
 	routes map[netip.AddrPort]*routeRecord
-	// services are the names of the services in the document.
-	services []string
+	// services maps names to the services of the document.
+	services map[string]Service
+	// evacuated holds the data centres whose servers get no new flows.
+	evacuated map[string]bool
 	// nextChange is the earliest time at which the view may change without a
 	// change in the store, 0 if there is none.
 	nextChange time.Duration
@@ -85,6 +87,10 @@
 	}
 }
 
+// SetEvacuated replaces the set of data centres whose servers get no new flows. It
+// takes effect with the next Build.
+func (b *Builder) SetEvacuated(dataCentres map[string]bool) { b.evacuated = dataCentres }
+
 // Build returns the view for a state of the store that was known to be current
 // at confirmedAt. The document is nil if there is none; servers maps IDs to
 // entries. Build sets WarmupEnd in these entries and retains them.
@@ -97,12 +103,14 @@
 		Routes:        map[netip.AddrPort]*RouteState{},
 		Usable:        map[string][]*Server{},
 		ServersByMark: map[uint32]*Server{},
+		Evacuated:     b.evacuated,
 	}
 	if doc != nil {
 		v.DocumentVersion = doc.Version
-		b.services = doc.Services
+		b.updateServices(doc)
 		b.updateRoutes(now, doc)
 	}
+	v.Services = b.services
 	b.addServers(now, v)
 	b.addRoutes(now, v)
 	if doc != nil {
@@ -111,6 +119,14 @@
 	return v
 }
 
+// updateServices replaces the services by those of the document.
+func (b *Builder) updateServices(doc *Document) {
+	b.services = make(map[string]Service, len(doc.Services))
+	for _, s := range doc.Services {
+		b.services[s.Name] = s
+	}
+}
+
 // isIncomplete reports whether a target of a route has no usable server and
 // ExpiryGrace has not yet passed since the first document. Entries that expired
 // during an outage of the store are written again within that time.
@@ -212,7 +228,7 @@
 func (b *Builder) addressOwners() map[netip.AddrPort]string {
 	out := map[netip.AddrPort]string{}
 	for id, r := range b.servers {
-		if len(b.services) > 0 && !slices.Contains(b.services, r.server.Service) {
+		if _, known := b.services[r.server.Service]; len(b.services) > 0 && !known {
 			continue
 		}
 		owner := b.servers[out[r.server.Address]]
@@ -237,7 +253,7 @@
 
 // isUsable reports whether a server may receive new flows.
 func (b *Builder) isUsable(now time.Duration, r *serverRecord) bool {
-	if r.server.State != Ready {
+	if r.server.State != Ready || b.evacuated[r.server.DataCentre] {
 		return false
 	}
 	if r.inStore {
@@ -274,7 +290,7 @@
 // addRoutes adds the routes to the view, and deletes expired former services.
 func (b *Builder) addRoutes(now time.Duration, v *View) {
 	for a, r := range b.routes {
-		state := &RouteState{Targets: r.Targets, Objective: r.Objective, Timeout: r.Timeout, Idempotent: r.Idempotent}
+		state := &RouteState{Targets: r.Targets, Objective: r.Objective, Timeout: r.Timeout, Idempotent: r.Idempotent, Priority: r.Priority}
 		for service, until := range r.serviceUntil {
 			if isTarget(r.Targets, service) {
 				continue
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -40,6 +40,9 @@
 	// least 1.
 	Slots int   `json:"slots"`
 	State State `json:"state"`
+	// Sequence orders the versions of the entry that one process of the server
+	// writes. It is not negative.
+	Sequence int64 `json:"sequence,omitempty"`
 	// WarmupDuration is how long the server remains slow after it wrote the
 	// entry.
 	WarmupDuration time.Duration `json:"warmFor"`
@@ -77,6 +80,18 @@
 	// Idempotent reports whether callers may repeat a request whose outcome they
 	// do not know.
 	Idempotent bool
+	// Priority ranks the route's requests under overload. 0 is the most urgent.
+	Priority int
+}
+
+// Service configures the servers of a service.
+type Service struct {
+	Name string
+	// WarmupDuration is how long a server is cold after its start.
+	WarmupDuration time.Duration
+	// WarmupRate is the number of requests per second that a cold server can
+	// serve, 0 for no limit. It is not negative.
+	WarmupRate float64
 }
 
 // Document is a version of the operators' configuration.
@@ -84,9 +99,9 @@
 	// Version increases with each document.
 	Version uint64
 	Routes  []Route
-	// Services are the names of the services, including those without a route. If
-	// it is empty, servers of any service are valid.
-	Services []string
+	// Services are the services, including those without a route. If it is empty,
+	// servers of any service are valid.
+	Services []Service
 }
 
 // RouteState is the state of a route in a view, including its former services.
@@ -97,9 +112,10 @@
 	// FormerServices lists the services, sorted by name, that were targets
 	// within the last flow lifetime and no longer are.
 	FormerServices []string
-	// Objective, Timeout and Idempotent are those of the Route.
+	// Objective, Timeout, Idempotent and Priority are those of the Route.
 	Objective, Timeout time.Duration
 	Idempotent         bool
+	Priority           int
 }
 
 // AllowsService reports whether an open flow of the route may belong to service,
@@ -130,6 +146,10 @@
 	// their entries may have expired during an outage of the store before the
 	// host started.
 	Incomplete bool
+	// Services maps names to the services of the document.
+	Services map[string]Service
+	// Evacuated holds the data centres whose servers get no new flows.
+	Evacuated map[string]bool
 	// Usable maps each service to its servers for new flows, sorted by ID.
 	Usable map[string][]*Server
 	// ServersByMark maps marks to servers. It contains every server to which an
