Release held SYNs by priority, route and caller; refuse excess ones early

Cause: held SYNs were released newest first, whatever their priority, so that a burst of one route or caller displaced the others. Change: steer.Order ranks fresh before overdue, then by priority with one release in eight for lower ones, then by turns of routes and of callers, then newest first. Held SYNs leave it at once when their flow ends, so that it has no stale entries. A new SYN does not pass held ones that compete with it. Where several routes compete, SYNs that cannot be released before their hold ends are refused early, if no other host can have opened their flows. Two tests compare a refusal with the waiting time, which is new in it.

--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -26,6 +26,9 @@
 	// time, and holdDeadline is when its hold ends.
 	overdue      bool
 	holdDeadline time.Duration
+	// held is the entry among the held SYNs, and heldAt when the hold began.
+	held   HeldSYN[*flow]
+	heldAt time.Duration
 	// synsSeen counts the SYNs received, if the first and all retransmissions
 	// so far arrived at this host; otherwise it is -1. nextSYNAt is when the
 	// next retransmission is due.
@@ -59,7 +62,7 @@
 	// by one of them. pinReceived reports the latter.
 	pinAnnounced, pinReceived bool
 	// generation changes when the record is reused, which invalidates timers
-	// and held SYNs of the former flow.
+	// of the former flow.
 	generation uint32
 	rawSYN     [maxSYNSize]byte
 	rawSYNSize int
@@ -134,6 +137,7 @@
 // deleteFlow deletes the state of a flow and keeps the record for reuse.
 func (t *Table) deleteFlow(f *flow) {
 	t.setInFlight(f, 0)
+	t.unhold(f)
 	delete(t.flows, f.key)
 	f.generation++
 	f.nextFree = t.freeFlows
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -7,17 +7,19 @@
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 )
 
-// holdIfFull holds the SYN of a new flow if its limiter is full, and reports
-// whether it did. A SYN that is first seen as a retransmission is overdue from
+// holdIfFull holds the SYN of a new flow if its limiter is full or if SYNs are
+// held that precede it, and reports whether it did. A SYN that is first seen as a retransmission is overdue from
 // the start. If there is no limit and it is too old to be held, it is sent at
 // once.
 func (t *Table) holdIfFull(now time.Duration, f *flow, route *fleet.RouteState, p *Packet) bool {
 	l := t.limiter(f.service)
 	f.overdue = p.Retransmits > 0
-	if !l.isFull(f.overdue) {
+	f.held = HeldSYN[*flow]{Owner: f, Priority: route.Priority, Route: f.key.Service, Caller: f.key.Caller.Addr()}
+	isFull := l.isFull(f.overdue)
+	if !isFull && l.held.MayPass(&f.held, f.overdue) {
 		return false
 	}
-	f.lastPacketAt = now
+	f.lastPacketAt, f.heldAt = now, now
 	f.holdDeadline = now + t.limitedHoldTime(route) - p.SinceFirst
 	if l.limit == 0 {
 		f.holdDeadline = now + overdueHoldTime(route) - p.SinceFirst
@@ -25,12 +27,13 @@
 			return false
 		}
 	}
-	l.heldInWindow = true
+	l.heldInWindow = l.heldInWindow || isFull
 	expiresAt := f.holdDeadline
 	if !f.overdue {
 		expiresAt = min(expiresAt, now+time.Duration(freshRatio*float64(route.Objective)))
 	}
-	t.enqueue(l, f)
+	t.enqueue(now, l, f)
+	l.evictionPending = true
 	t.timers.push(timer{expiresAt: expiresAt, flow: f, generation: f.generation, kind: holdTimer})
 	return true
 }
@@ -55,21 +58,26 @@
 }
 
 // enqueue adds the held SYN of a flow to the queue of its service.
-func (t *Table) enqueue(l *limiter, f *flow) {
-	w := heldSYN{flow: f, generation: f.generation}
-	if f.overdue {
-		l.overdue = pushHeld(l.overdue, w, true)
-	} else {
-		l.fresh = pushHeld(l.fresh, w, false)
+func (t *Table) enqueue(now time.Duration, l *limiter, f *flow) {
+	if l.held.Len() == 0 {
+		l.releases.start(now)
 	}
+	l.held.Push(&f.held, f.overdue)
 	if !l.isListed {
 		l.isListed = true
 		t.holdingLimiters = append(t.holdingLimiters, l)
 	}
 }
 
-// nextReleased returns a held SYN that its limiter admits now; ok is false if
-// there is none.
+// unhold removes the SYN of a flow from the held ones if it is one of them.
+func (t *Table) unhold(f *flow) {
+	if f.held.IsHeld() {
+		t.limiter(f.service).held.Remove(&f.held)
+	}
+}
+
+// nextReleased returns a held SYN that its limiter admits now, or else the refusal
+// of one of too many; ok is false if there is neither.
 func (t *Table) nextReleased(now time.Duration) (Resend, bool) {
 	for _, l := range t.holdingLimiters {
 		for l.canRelease() {
@@ -81,9 +89,12 @@
 				return r, true
 			}
 		}
+		if r, ok := t.nextEvicted(now, l); ok {
+			return r, true
+		}
 	}
 	t.holdingLimiters = slices.DeleteFunc(t.holdingLimiters, func(l *limiter) bool {
-		l.isListed = len(l.fresh)+len(l.overdue) > 0
+		l.isListed = l.held.Len() > 0
 		return !l.isListed
 	})
 	return Resend{}, false
@@ -109,7 +120,7 @@
 func (t *Table) handleHoldTimeout(now time.Duration, f *flow) (Resend, bool) {
 	if now < f.holdDeadline {
 		f.overdue = true
-		t.enqueue(t.limiter(f.service), f)
+		t.enqueue(now, t.limiter(f.service), f)
 		t.timers.push(timer{expiresAt: f.holdDeadline, flow: f, generation: f.generation, kind: holdTimer})
 		return Resend{}, false
 	}
@@ -120,9 +131,15 @@
 		t.timers.push(timer{expiresAt: end, flow: f, generation: f.generation, kind: holdTimer})
 		return Resend{}, false
 	}
-	key, refuse := f.key, f.canRefuse(now)
+	refuse := f.canRefuse(now)
+	return t.refuseHeld(now, f), refuse
+}
+
+// refuseHeld deletes a flow whose SYN is held and returns its refusal.
+func (t *Table) refuseHeld(now time.Duration, f *flow) Resend {
+	r := Resend{Key: f.key, Priority: f.held.Priority, Waited: now - f.heldAt}
 	t.deleteFlow(f)
-	return Resend{Key: key}, refuse
+	return r
 }
 
 // handleHeldRetransmission handles a retransmission of a held SYN. If the hold
@@ -130,10 +147,10 @@
 // SYN, it refuses the flow. Otherwise the SYN stays held.
 func (t *Table) handleHeldRetransmission(now time.Duration, f *flow) Verdict {
 	if now < f.holdDeadline || t.limiter(f.service).limit == 0 || !f.canRefuse(now) {
-		return Verdict{Action: Hold}
+		return Verdict{Action: Hold, Priority: f.held.Priority}
 	}
-	t.deleteFlow(f)
-	return Verdict{Action: Refuse, Reason: Overload}
+	r := t.refuseHeld(now, f)
+	return Verdict{Action: Refuse, Reason: Overload, Priority: r.Priority, Waited: r.Waited}
 }
 
 // startAnswerTimer sets the timer after which a flow is no longer in flight, since
--- a/pkg/steer/limiter.go
+++ b/pkg/steer/limiter.go
@@ -59,9 +59,6 @@
 	// through another host, and a busy host reads SYNs late. It is also how
 	// long after that time the host waits for the retransmission.
 	refusalMargin = 100 * time.Millisecond
-	// compactThreshold is the length from which on a stack of held SYNs is
-	// compacted before an addition.
-	compactThreshold = 256
 )
 
 // limiter limits the flows of a host that are in flight to the servers of a
@@ -70,7 +67,8 @@
 // miss the latency objectives of the routes, a limit applies to the number of
 // flows in flight, and new SYNs are held. The newest is released first, since
 // it can still be served in time; overdue SYNs are released when no fresh one
-// is held. In FIFO order, all of them would be served too late.
+// is held. In FIFO order, all of them would be served too late. Order ranks
+// priorities, routes and callers.
 //
 // Adaptive LIFO under overload is described in Maurer, "Fail at Scale" (ACM
 // Queue, 2015).
@@ -91,19 +89,16 @@
 	// median is the median ratio of the latest window, and baseline an estimate
 	// of it without queueing.
 	median, baseline float64
-	// fresh and overdue are stacks of held SYNs, the newest last.
-	fresh, overdue []heldSYN
+	// held holds the held SYNs, and releases measures how fast they are sent.
+	held     Order[*flow]
+	releases releaseMeter
+	// evictionPending reports whether a SYN was held since NextResend last
+	// checked whether too many are.
+	evictionPending bool
 	// isListed reports whether the limiter is in Table.holdingLimiters.
 	isListed bool
 }
 
-// heldSYN refers to a flow whose SYN is held. It is stale if the generation of
-// the flow has changed.
-type heldSYN struct {
-	flow       *flow
-	generation uint32
-}
-
 // limiter returns the limiter of a service.
 func (t *Table) limiter(service string) *limiter {
 	l := t.limiters[service]
@@ -215,48 +210,19 @@
 	l.loweredAt = now
 }
 
-// pushHeld adds a SYN to a stack, after removing stale entries if the stack is
-// long.
-func pushHeld(stack []heldSYN, w heldSYN, overdue bool) []heldSYN {
-	if len(stack) >= compactThreshold {
-		stack = slices.DeleteFunc(stack, func(w heldSYN) bool { return !w.isWaiting(overdue) })
-	}
-	return append(stack, w)
-}
-
-// isWaiting reports whether the SYN is still held, as overdue or fresh.
-func (w heldSYN) isWaiting(overdue bool) bool {
-	return w.flow.generation == w.generation && w.flow.tries == 0 && !w.flow.ended && w.flow.overdue == overdue
-}
-
 // popNext removes and returns the flow whose SYN is released next, or returns
 // nil if there is none.
 func (l *limiter) popNext() *flow {
-	if f := popHeld(&l.fresh, false); f != nil {
-		return f
-	}
-	if l.isFull(true) {
+	h := l.held.Pop(!l.isFull(true))
+	if h == nil {
 		return nil
 	}
-	return popHeld(&l.overdue, true)
-}
-
-// popHeld removes entries from a stack up to the newest one that is still held
-// and returns its flow, or nil if there is none.
-func popHeld(stack *[]heldSYN, overdue bool) *flow {
-	for len(*stack) > 0 {
-		w := (*stack)[len(*stack)-1]
-		*stack = (*stack)[:len(*stack)-1]
-		if w.isWaiting(overdue) {
-			return w.flow
-		}
-	}
-	return nil
+	return h.Owner
 }
 
 // canRelease reports whether a held SYN may be sent.
 func (l *limiter) canRelease() bool {
-	return len(l.fresh) > 0 && !l.isFull(false) || len(l.overdue) > 0 && !l.isFull(true)
+	return l.held.Count(false) > 0 && !l.isFull(false) || l.held.Count(true) > 0 && !l.isFull(true)
 }
 
 // canRelease reports whether a held SYN of any service may be sent.
--- a/pkg/steer/limiter_test.go
+++ b/pkg/steer/limiter_test.go
@@ -111,7 +111,7 @@
 	is.Equal(table.testResendAll(190*ms), nil)
 	is.Equal(table.testSYNTransmission(200*ms, 1, 1).Action, Hold)
 	is.Equal(table.testResendAll(600*ms), nil)
-	is.Equal(table.testSYNTransmission(601*ms, 1, 2), Verdict{Action: Refuse, Reason: Overload})
+	is.Equal(table.testSYNTransmission(601*ms, 1, 2), Verdict{Action: Refuse, Reason: Overload, Waited: 601 * ms})
 	is.Equal(table.FlowCount(), 0)
 	// With a shorter timeout, the hold ends between two retransmissions.
 	table.view.Routes[routeAddress].Timeout = 800 * ms
@@ -119,7 +119,7 @@
 	table.testSYNTransmission(200*ms, 2, 1)
 	r, ok := table.NextResend(321 * ms)
 	is.True(ok)
-	is.Equal(r, Resend{Key: key(2)})
+	is.Equal(r, Resend{Key: key(2), Waited: 321 * ms})
 }
 
 // TestLimitFollowsAnswerTimes checks that late answers set and lower the limit
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -21,6 +21,7 @@
 		v.Adopted = f != nil
 	case f != nil && f.tries == 0:
 		// The SYN is held here, and the flow opened through another host.
+		t.unhold(f)
 		f.adopt(s)
 		v.Adopted = true
 	}
@@ -115,6 +116,7 @@
 	}
 	if p.FIN || p.Reset {
 		f.ended = true
+		t.unhold(f)
 		t.setInFlight(f, 0)
 	}
 }
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -101,6 +101,10 @@
 	// Tries is the number of servers to which the SYN was sent, 0 if the Table
 	// has no state on the flow.
 	Tries int
+	// Priority is that of the route if the SYN is held or refused, and Waited how
+	// long the SYN of a flow that is refused was held.
+	Priority int
+	Waited   time.Duration
 	// Adopted reports whether the Table had no state on the flow before the
 	// packet. ForeignMark reports whether the packet carries the mark of another
 	// server than that of the flow, to which the packet goes.
@@ -117,6 +121,12 @@
 	Server *fleet.Server
 	// Unresponsive is the server that did not answer; nil if the SYN was held.
 	Unresponsive *fleet.Server
+	// Priority is that of the route of a refused flow, and Waited how long its SYN
+	// was held. Evicted reports whether it is refused before the end of its hold,
+	// because too many SYNs are held.
+	Priority int
+	Waited   time.Duration
+	Evicted  bool
 	// RawSYN holds the bytes of the SYN as received. They are valid until the
 	// next call of a method of the Table.
 	RawSYN []byte
--- a/pkg/steer/pin.go
+++ b/pkg/steer/pin.go
@@ -58,6 +58,7 @@
 		}
 		f = t.newFlow(&Packet{Key: p.Key}, "", nil)
 	}
+	t.unhold(f)
 	f.triedMarks[0] = p.Mark
 	f.tries = max(f.tries, 2) // At least two servers got the SYN.
 	f.pinnedMark = p.Mark
--- a/pkg/steer/report.go
+++ b/pkg/steer/report.go
@@ -51,8 +51,8 @@
 	Service string
 	// Limit is the maximum number of flows in flight; 0 for no limit.
 	Limit float64
-	// InFlight is the number of flows in flight. Waiting is the number of queue
-	// entries of held SYNs, some of which may be stale.
+	// InFlight is the number of flows in flight, and Waiting that of held
+	// SYNs.
 	InFlight, Waiting int
 }
 
@@ -61,7 +61,7 @@
 func (t *Table) ServiceReports() []ServiceReport {
 	var out []ServiceReport
 	for service, l := range t.limiters {
-		out = append(out, ServiceReport{Service: service, Limit: l.limit, InFlight: l.inFlight, Waiting: len(l.fresh) + len(l.overdue)})
+		out = append(out, ServiceReport{Service: service, Limit: l.limit, InFlight: l.inFlight, Waiting: l.held.Len()})
 	}
 	slices.SortFunc(out, func(a, b ServiceReport) int { return cmp.Compare(a.Service, b.Service) })
 	return out
--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -8,6 +8,10 @@
 
 // recordSYNSent records that the SYN of a flow is sent to a server.
 func (t *Table) recordSYNSent(now time.Duration, f *flow, s *fleet.Server) {
+	t.unhold(f)
+	if f.tries == 0 {
+		t.limiter(f.service).releases.record(now)
+	}
 	f.triedMarks[f.tries] = s.Mark
 	f.tries++
 	f.sentAt = now
@@ -22,7 +26,7 @@
 // NextDeadline returns when NextResend must be called next; ok is false if no
 // timer is set and no SYN can be released.
 func (t *Table) NextDeadline() (at time.Duration, ok bool) {
-	if t.canRelease() {
+	if t.canRelease() || t.mayEvict() {
 		return 0, true
 	}
 	for len(t.timers) > 0 {
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -173,13 +173,13 @@
 		if t.view.Incomplete {
 			return Verdict{Reason: NoServer} // A retransmission may find one.
 		}
-		return Verdict{Action: Refuse, Reason: NoServer}
+		return Verdict{Action: Refuse, Reason: NoServer, Priority: route.Priority}
 	}
 	if len(t.flows) < t.settings.MaxFlows && len(raw) <= maxSYNSize {
 		f = t.newFlow(p, service, raw)
 		f.recordSYN(now, p)
 		if t.holdIfFull(now, f, route, p) {
-			return Verdict{Action: Hold}
+			return Verdict{Action: Hold, Priority: route.Priority}
 		}
 		t.recordSYNSent(now, f, s)
 	}
