--- a/pkg/steer/order.go
+++ b/pkg/steer/order.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 )
@@ -226,7 +227,8 @@
 
 // Evictable returns the SYN that is given up first when too many are held: one
 // of the oldest of the least urgent priority for which mayEvict is true, of the
-// caller that has the most. It returns nil if there is none.
+// route that has the most, and of its callers of the one that has the most. It
+// returns nil if there is none.
 func (o *Order[T]) Evictable(mayEvict func(h *HeldSYN[T]) bool) *HeldSYN[T] {
 	for _, c := range slices.Backward(o.classes) {
 		if c.count == 0 {
@@ -235,7 +237,7 @@
 		var best *HeldSYN[T]
 		h := c.oldest
 		for n := 0; h != nil && n < evictionCandidates; n++ {
-			if mayEvict(h) && (best == nil || h.caller.count > best.caller.count) {
+			if mayEvict(h) && (best == nil || h.hasMoreCompanions(best)) {
 				best = h
 			}
 			h = h.later
@@ -245,6 +247,12 @@
 	return nil
 }
 
+// hasMoreCompanions reports whether more SYNs of the route of h are held than of
+// that of another SYN, or as many and more of its caller.
+func (h *HeldSYN[T]) hasMoreCompanions(other *HeldSYN[T]) bool {
+	return cmp.Or(h.route.count-other.route.count, h.caller.count-other.caller.count) > 0
+}
+
 // classOf returns the class of a priority.
 func (o *Order[T]) classOf(priority int) *priorityClass[T] {
 	i, found := slices.BinarySearchFunc(o.classes, priority, func(c *priorityClass[T], p int) int { return c.priority - p })
