Count and log refusals under overload by priority

Cause: a refused request could not be traced to its priority, its waiting time and the reason why its hold ended. A SYN was refused early only if twice as many preceded it as could be released. Change: lagoonramp_held_flows_total and lagoonramp_refused_flows_total by priority; the log line of a refusal has priority, waited and cause. The margin of the early refusal is the growth factor of the limit. Result: go test ./pkg/steer ./internal/marked passes.

--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -220,6 +221,14 @@
 	h.writeJSON(w, out)
 }
 
+// writeByPriority writes a counter of the flows of a priority, unless there were
+// none.
+func writeByPriority(w io.Writer, name string, priority int, value *atomic.Uint64) {
+	if n := value.Load(); n > 0 {
+		metrics.WriteCounterUint64(w, fmt.Sprintf("%s{priority=\"%d\"}", name, priority), n)
+	}
+}
+
 // serveMetrics writes all metrics in the Prometheus text format.
 func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	c := &h.traffic.counters
@@ -253,6 +262,10 @@
 	for r := steer.NoView; r <= steer.UnknownMark; r++ {
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_packets_dropped_total{reason=%q}`, r), c.Dropped[r].Load())
 	}
+	for priority := range priorityCount {
+		writeByPriority(w, "lagoonramp_held_flows_total", priority, &c.HeldByPriority[priority])
+		writeByPriority(w, "lagoonramp_refused_flows_total", priority, &c.RefusedByPriority[priority])
+	}
 	metrics.WriteGaugeUint64(w, `lagoonramp_flows`, c.Flows.Load())
 	metrics.WriteCounterUint64(w, `lagoonramp_log_lines_dropped_total`, h.settings.DroppedLogLines())
 	if p := h.published.Load(); p != nil {
--- a/internal/marked/log.go
+++ b/internal/marked/log.go
@@ -109,10 +109,21 @@
 	}
 }
 
-func (l *decisionLog) flowRefused(now time.Duration, p *steer.Packet, reason steer.Reason, published *publishedView) {
-	if e := l.unusual.Check(zap.WarnLevel, "traffic: flow refused, not run"); e != nil {
-		e.Write(append(flowFields(now, p.Key, published), zap.Stringer("reason", reason))...)
+// flowRefused logs a refusal, with what decided it in case of overload.
+func (l *decisionLog) flowRefused(now time.Duration, r refusal, published *publishedView) {
+	e := l.unusual.Check(zap.WarnLevel, "traffic: flow refused, not run")
+	if e == nil {
+		return
+	}
+	fields := append(flowFields(now, r.key, published), zap.Stringer("reason", r.reason))
+	if r.reason == steer.Overload {
+		cause := "holdEnded"
+		if r.evicted {
+			cause = "tooManyHeld"
+		}
+		fields = append(fields, zap.Int("priority", r.priority), zap.Duration("waited", r.waited), zap.String("cause", cause))
 	}
+	e.Write(fields...)
 }
 
 // flowReset logs that an open flow is reset because its server is unreachable.
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -45,6 +45,9 @@
 	socketBuffer = 1 << 20
 	// maxReasons is above the largest steer.Reason.
 	maxReasons = 16
+	// priorityCount is the number of priorities that are counted separately. Flows
+	// of less urgent ones count as of the last.
+	priorityCount = 16
 	// reportInterval is the minimum interval at which the reports on servers and
 	// services for operators are updated.
 	reportInterval = time.Second
@@ -75,6 +78,9 @@
 	// them.
 	Adopted, ForeignMarks, PinsReceived, PinsAnnounced atomic.Uint64
 	Dropped                                            [maxReasons]atomic.Uint64
+	// HeldByPriority and RefusedByPriority divide Held and Refused by the priority
+	// of the route, without refusals for want of a route.
+	HeldByPriority, RefusedByPriority [priorityCount]atomic.Uint64
 }
 
 // traffic forwards packets. Its fields belong to the traffic loop, except those
@@ -354,11 +360,12 @@
 		t.recordForward(now, &p, &v, raw)
 		t.forward(framed, v.Server)
 	case steer.Refuse:
-		t.refuseFlow(now, &p, v.Reason)
+		t.refuseFlow(now, refusal{key: p.Key, reason: v.Reason, priority: v.Priority, waited: v.Waited})
 	case steer.ResetFlow:
 		t.resetFlow(now, steer.Reset{Key: p.Key, Sequence: p.Ack, Server: v.Server})
 	case steer.Hold:
 		t.counters.Held.Add(1)
+		t.counters.HeldByPriority[min(v.Priority, priorityCount-1)].Add(1)
 	case steer.Drop:
 		t.counters.Dropped[v.Reason].Add(1)
 		t.log.packetDropped(now, &p, v.Reason, t.current)
@@ -400,18 +407,32 @@
 	t.counters.Forwarded.Add(1)
 }
 
+// refusal is a flow that cannot be opened.
+type refusal struct {
+	key    steer.Key
+	reason steer.Reason
+	// priority is that of the route, and waited how long the SYN was held. evicted
+	// reports whether the hold ended early, because too many SYNs were held.
+	priority int
+	waited   time.Duration
+	evicted  bool
+}
+
 // refuseFlow resets a flow that cannot be opened. If the view is too old to
 // tell that a route or a server does not exist, it drops the packet without an
 // answer, except in case of overload.
-func (t *traffic) refuseFlow(now time.Duration, p *steer.Packet, reason steer.Reason) {
-	if reason != steer.Overload && now-t.current.confirmedAt > maxRefusalViewAge {
-		t.counters.Dropped[reason].Add(1)
-		t.log.packetDropped(now, p, reason, t.current)
+func (t *traffic) refuseFlow(now time.Duration, r refusal) {
+	if r.reason != steer.Overload && now-t.current.confirmedAt > maxRefusalViewAge {
+		t.counters.Dropped[r.reason].Add(1)
+		t.log.packetDropped(now, &steer.Packet{Key: r.key}, r.reason, t.current)
 		return
 	}
 	t.counters.Refused.Add(1)
-	t.log.flowRefused(now, p, reason, t.current)
-	t.sendReset(p.Key, 0)
+	if r.reason != steer.NoRoute {
+		t.counters.RefusedByPriority[min(r.priority, priorityCount-1)].Add(1)
+	}
+	t.log.flowRefused(now, r, t.current)
+	t.sendReset(r.key, 0)
 }
 
 // sendReset queues a reset of a flow for the next flush of the writer.
@@ -452,7 +473,7 @@
 			break
 		}
 		if r.Server == nil {
-			t.refuseFlow(now, &steer.Packet{Key: r.Key}, steer.Overload)
+			t.refuseFlow(now, refusal{key: r.Key, reason: steer.Overload, priority: r.Priority, waited: r.Waited, evicted: r.Evicted})
 			t.writer.Flush()
 			continue
 		}
--- a/pkg/steer/excess.go
+++ b/pkg/steer/excess.go
@@ -10,10 +10,9 @@
 	// The slowest hosts release some tens of SYNs a second while they hold any.
 	releaseWindow = 250 * time.Millisecond
 	// evictionMargin is how many times what can be released by the end of a SYN's
-	// hold must precede it before it is refused earlier. The limit may grow by
-	// growthFactor with each window of answers, and SYNs that precede it may
-	// expire.
-	evictionMargin = 2.0
+	// hold must precede it before it is refused earlier, since the limit, and with
+	// it the rate, may grow.
+	evictionMargin = growthFactor
 	// minEvictionBacklog is the least number of preceding SYNs: estimates of a few
 	// releases are too coarse.
 	minEvictionBacklog = 8
