--- a/internal/exper/summary.go
+++ b/internal/exper/summary.go
@@ -27,7 +27,13 @@
 // RunSeeds runs an experiment on the seeds first, first+1, …, with up to parallel
 // runs at a time. The results are in the order of the seeds.
 func RunSeeds(name string, size Size, first uint64, seeds, parallel int) []Result {
-	out := make([]Result, seeds)
+	return runSeeds(first, seeds, parallel, func(seed uint64) Result { return Run(name, size, seed) })
+}
+
+// runSeeds calls run for the seeds first, first+1, …, with up to parallel calls at
+// a time. The results are in the order of the seeds.
+func runSeeds[T any](first uint64, seeds, parallel int, run func(seed uint64) T) []T {
+	out := make([]T, seeds)
 	semaphore := make(chan struct{}, max(1, parallel))
 	var wg sync.WaitGroup
 	for i := range seeds {
@@ -36,7 +42,7 @@
 		go func() {
 			defer wg.Done()
 			defer func() { <-semaphore }()
-			out[i] = Run(name, size, first+uint64(i))
+			out[i] = run(first + uint64(i))
 		}()
 	}
 	wg.Wait()
@@ -82,6 +88,15 @@
 	return (v[(n-1)/2] + v[n/2]) / 2, v[0], v[n-1]
 }
 
+// formatValues returns the median of values, and their range if they differ.
+func formatValues(values []float64) string {
+	median, low, high := medianAndRange(values)
+	if low == high {
+		return fmt.Sprintf("%.4g", median)
+	}
+	return fmt.Sprintf("%.4g (%.4g–%.4g)", median, low, high)
+}
+
 // WriteTable writes the medians and ranges of an experiment's results as a
 // Markdown table.
 func WriteTable(w io.Writer, name string, results []Result) {
@@ -99,12 +114,7 @@
 	for _, strategy := range Strategies {
 		fmt.Fprintf(t, "| %s\t", strategy)
 		for _, c := range summaryColumns {
-			median, low, high := medianAndRange(columnValues(results, strategy, c))
-			if low == high {
-				fmt.Fprintf(t, "| %.4g\t", median)
-			} else {
-				fmt.Fprintf(t, "| %.4g (%.4g–%.4g)\t", median, low, high)
-			}
+			fmt.Fprintf(t, "| %s\t", formatValues(columnValues(results, strategy, c)))
 		}
 		fmt.Fprintln(t, "|")
 	}
--- a/pkg/steer/admission_test.go
+++ b/pkg/steer/admission_test.go
@@ -251,3 +251,55 @@
 func urgentKey(n int) Key {
 	return Key{Caller: key(n).Caller, Service: burstRoute(1)}
 }
+
+// TestHeldSYNsAreThoseOfWaitingFlows guards against held SYNs whose flows were
+// opened, ended or deleted, which would be sent to a second server, and against
+// flows that wait for ever. Packets of a few flows arrive in any order while the
+// limit changes.
+func TestHeldSYNsAreThoseOfWaitingFlows(t *testing.T) {
+	for seed := range uint64(40) {
+		is := is.New(t)
+		rng := rand.New(rand.NewPCG(seed, 5))
+		table := newOverloadedTable(seed)
+		table.view.Routes[burstRoute(1)] = &fleet.RouteState{Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: 250 * ms, Timeout: 3 * time.Second, Priority: 1}
+		l := table.limiter("desk")
+		heldSYNs := 0
+		for now := time.Duration(0); now < 20*time.Second; now += time.Duration(rng.IntN(40)) * ms {
+			k := key(rng.IntN(30))
+			if rng.IntN(2) == 0 {
+				k = urgentKey(rng.IntN(30))
+			}
+			n, mark := rng.IntN(3), uint32(rng.IntN(3))
+			switch rng.IntN(10) {
+			case 0:
+				l.limit = []float64{0, minLimit, 50}[n]
+			case 1:
+				table.AddPin(now, Pin{Key: k, Mark: mark + 1})
+			case 2, 3:
+				table.HandlePacket(now, &Packet{Key: k, Mark: mark, Ack: uint32(n), Length: n, FIN: n == 1, Reset: n == 2}, nil)
+			default:
+				table.HandlePacket(now, &Packet{Key: k, Sequence: uint32(rng.IntN(2)), SYN: true, Retransmits: n, SinceFirst: testSYNTimes[n], UntilNext: testSYNTimes[n+1] - testSYNTimes[n]}, rawSYN)
+			}
+			for _, ok := table.NextResend(now); ok; _, ok = table.NextResend(now) {
+			}
+			held := 0
+			for _, f := range table.flows {
+				if f.held.IsHeld() {
+					held++
+					is.True(f.tries == 0 && !f.ended && f.held.Owner == f && f.held.Route == f.key.Service)
+				}
+			}
+			is.Equal(l.held.Len(), held)
+			heldSYNs += held
+		}
+		is.True(heldSYNs > 100)
+		table.testExpireTimers(30 * time.Second)
+		is.Equal(l.held.Len(), 0)
+	}
+}
+
+// testExpireTimers lets all timers expire by now.
+func (t *Table) testExpireTimers(now time.Duration) {
+	for _, ok := t.NextResend(now); ok; _, ok = t.NextResend(now) {
+	}
+}
--- a/pkg/steer/doc.go
+++ b/pkg/steer/doc.go
@@ -18,8 +18,8 @@
 //
 // While the servers of a service miss the latency objectives of their routes,
 // the Table limits the number of flows that it has in flight to them. SYNs
-// above the limit are held in a queue and released newest first; those that can
-// no longer be served in time are refused.
+// above the limit are held and released in the sequence that Order defines; those
+// that can no longer be served in time are refused.
 //
 // Open flows of idempotent routes are reset while their server is unreachable. The
 // application probes the servers that the Table names.
