Hold new flows of heavy routes while the host's link is full

Cause: a burst of uploads fills the queue of a host's link and delays the flows of all routes, and no setting tells the host what its link carries. Change: marked.linkMbps (0: no limit). steer.link counts forwarded bytes and those that open flows still have to carry; above 0.9 of 200 ms of the link, new flows of routes with flows of at least the mean size wait in an Order of the host.

--- a/cmd/lagoonramp/serve.go
+++ b/cmd/lagoonramp/serve.go
@@ -84,7 +84,7 @@
 		Name: settings.Name, DataCentre: settings.DataCentre,
 		PacketAddress: netip.MustParseAddrPort(m.Packets), ReadinessAddress: netip.MustParseAddrPort(m.Ready),
 		PeerAddress: netip.MustParseAddrPort(m.Peer), Seeds: m.SeedAddresses(),
-		FlowLifetime: m.FlowLifetimeOrDefault(), ShutdownTimeout: m.GraceOrDefault(),
+		FlowLifetime: m.FlowLifetimeOrDefault(), ShutdownTimeout: m.GraceOrDefault(), LinkRate: m.LinkMbps * 1e6 / 8,
 		AdminAddress: m.Admin, DroppedLogLines: sink.Dropped,
 		Codec: platform.Codec{}, Store: platform.NewStore(m.Store), Decoder: platform.Decoder{},
 		ReadinessHandler: platform.ReadinessHandler,
--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -42,6 +42,9 @@
 	// ShutdownTimeout is the maximum duration of a graceful shutdown, from the
 	// request to stop to the end of the process.
 	ShutdownTimeout time.Duration
+	// LinkRate is the rate in bytes per second of the link on which the host
+	// forwards packets, 0 for no limit.
+	LinkRate float64
 
 	// DroppedLogLines returns the number of log lines that were dropped.
 	DroppedLogLines func() uint64
--- a/internal/marked/log.go
+++ b/internal/marked/log.go
@@ -118,8 +118,11 @@
 	fields := append(flowFields(now, r.key, published), zap.Stringer("reason", r.reason))
 	if r.reason == steer.Overload {
 		cause := "holdEnded"
-		if r.evicted {
+		switch {
+		case r.evicted:
 			cause = "tooManyHeld"
+		case r.linkFull:
+			cause = "linkFull"
 		}
 		fields = append(fields, zap.Int("priority", r.priority), zap.Duration("waited", r.waited), zap.String("cause", cause))
 	}
--- a/internal/marked/log_test.go
+++ b/internal/marked/log_test.go
@@ -22,6 +22,7 @@
 	}{
 		{refusal{key: key, reason: steer.Overload, priority: 2, waited: 1100 * time.Millisecond}, "holdEnded"},
 		{refusal{key: key, reason: steer.Overload, priority: 2, waited: 700 * time.Millisecond, evicted: true}, "tooManyHeld"},
+		{refusal{key: key, reason: steer.Overload, priority: 2, waited: 1100 * time.Millisecond, linkFull: true}, "linkFull"},
 		{refusal{key: key, reason: steer.NoServer}, nil},
 	} {
 		is := is.New(t)
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -175,6 +175,7 @@
 	}
 	t.table = steer.NewTable(steer.Settings{
 		DataCentre: settings.DataCentre,
+		LinkRate:   settings.LinkRate,
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	return t, nil
@@ -360,7 +361,7 @@
 		t.recordForward(now, &p, &v, raw)
 		t.forward(framed, v.Server)
 	case steer.Refuse:
-		t.refuseFlow(now, refusal{key: p.Key, reason: v.Reason, priority: v.Priority, waited: v.Waited})
+		t.refuseFlow(now, refusal{key: p.Key, reason: v.Reason, priority: v.Priority, waited: v.Waited, linkFull: v.LinkFull})
 	case steer.ResetFlow:
 		t.resetFlow(now, steer.Reset{Key: p.Key, Sequence: p.Ack, Server: v.Server})
 	case steer.Hold:
@@ -416,6 +417,8 @@
 	priority int
 	waited   time.Duration
 	evicted  bool
+	// linkFull reports whether the SYN waited for the host's link.
+	linkFull bool
 }
 
 // refuseFlow resets a flow that cannot be opened. If the view is too old to
@@ -473,7 +476,7 @@
 			break
 		}
 		if r.Server == nil {
-			t.refuseFlow(now, refusal{key: r.Key, reason: steer.Overload, priority: r.Priority, waited: r.Waited, evicted: r.Evicted})
+			t.refuseFlow(now, refusal{key: r.Key, reason: steer.Overload, priority: r.Priority, waited: r.Waited, evicted: r.Evicted, linkFull: r.LinkFull})
 			t.writer.Flush()
 			continue
 		}
--- a/internal/setup/marked.go
+++ b/internal/setup/marked.go
@@ -39,6 +39,10 @@
 	// WarmupOverage is 1, that of WarmupSlack 0.
 	WarmupOverage float64 `json:"warmupOverage,omitempty"`
 	WarmupSlack   float64 `json:"warmupSlack,omitempty"`
+	// LinkMbps is the rate in Mbit/s of the link on which the host forwards packets.
+	// While it is nearly full, new flows of routes whose flows carry much data wait.
+	// The default is 0, which sets no limit.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
 
 const (
@@ -65,6 +69,9 @@
 	if m.WarmupSlack < 0 {
 		c.addFault("marked.warmupSlack", "it must not be negative")
 	}
+	if m.LinkMbps < 0 {
+		c.addFault("marked.linkMbps", "it must not be negative")
+	}
 	if m.Grace < 0 {
 		c.addFault("marked.grace", "it must not be negative")
 	}
--- a/pkg/steer/admission_test.go
+++ b/pkg/steer/admission_test.go
@@ -263,6 +263,9 @@
 		table := newOverloadedTable(seed)
 		table.view.Routes[burstRoute(1)] = &fleet.RouteState{Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: 250 * ms, Timeout: 3 * time.Second, Priority: 1}
 		l := table.limiter("desk")
+		if seed%2 == 1 {
+			table.link.setRate(2000) // SYNs wait for the link, too.
+		}
 		heldSYNs := 0
 		for now := time.Duration(0); now < 20*time.Second; now += time.Duration(rng.IntN(40)) * ms {
 			k := key(rng.IntN(30))
@@ -276,7 +279,7 @@
 			case 1:
 				table.AddPin(now, Pin{Key: k, Mark: mark + 1})
 			case 2, 3:
-				table.HandlePacket(now, &Packet{Key: k, Mark: mark, Ack: uint32(n), Length: n, FIN: n == 1, Reset: n == 2}, nil)
+				table.HandlePacket(now, &Packet{Key: k, Mark: mark, Ack: uint32(n), Length: n, FIN: n == 1, Reset: n == 2}, rawSYN)
 			default:
 				table.HandlePacket(now, &Packet{Key: k, Sequence: uint32(rng.IntN(2)), SYN: true, Retransmits: n, SinceFirst: testSYNTimes[n], UntilNext: testSYNTimes[n+1] - testSYNTimes[n]}, rawSYN)
 			}
@@ -289,12 +292,12 @@
 					is.True(f.tries == 0 && !f.ended && f.held.Owner == f && f.held.Route == f.key.Service)
 				}
 			}
-			is.Equal(l.held.Len(), held)
+			is.Equal(l.held.Len()+table.linkQueue.Len(), held)
 			heldSYNs += held
 		}
 		is.True(heldSYNs > 100)
 		table.testExpireTimers(30 * time.Second)
-		is.Equal(l.held.Len(), 0)
+		is.Equal(l.held.Len()+table.linkQueue.Len(), 0)
 	}
 }
 
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -27,8 +27,11 @@
 	overdue      bool
 	holdDeadline time.Duration
 	// held is the entry among the held SYNs, and heldAt when the hold began.
-	held   HeldSYN[*flow]
-	heldAt time.Duration
+	// heldByLink reports whether the SYN waits for the host's link and not for the
+	// limiter.
+	held       HeldSYN[*flow]
+	heldAt     time.Duration
+	heldByLink bool
 	// synsSeen counts the SYNs received, if the first and all retransmissions
 	// so far arrived at this host; otherwise it is -1. nextSYNAt is when the
 	// next retransmission is due.
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -13,13 +13,11 @@
 // once.
 func (t *Table) holdIfFull(now time.Duration, f *flow, route *fleet.RouteState, p *Packet) bool {
 	l := t.limiter(f.service)
-	f.overdue = p.Retransmits > 0
-	f.held = HeldSYN[*flow]{Owner: f, Priority: route.Priority, Route: f.key.Service, Caller: f.key.Caller.Addr()}
+	f.prepareHold(route, p)
 	isFull := l.isFull(f.overdue)
 	if !isFull && l.held.MayPass(&f.held, f.overdue) {
 		return false
 	}
-	f.lastPacketAt, f.heldAt = now, now
 	f.holdDeadline = now + t.limitedHoldTime(route) - p.SinceFirst
 	if l.limit == 0 {
 		f.holdDeadline = now + overdueHoldTime(route) - p.SinceFirst
@@ -28,14 +26,26 @@
 		}
 	}
 	l.heldInWindow = l.heldInWindow || isFull
+	l.evictionPending = true
+	t.startHold(now, f, route)
+	return true
+}
+
+// prepareHold sets the rank of the SYN of a new flow among held ones.
+func (f *flow) prepareHold(route *fleet.RouteState, p *Packet) {
+	f.overdue = p.Retransmits > 0
+	f.held = HeldSYN[*flow]{Owner: f, Priority: route.Priority, Route: f.key.Service, Caller: f.key.Caller.Addr()}
+}
+
+// startHold holds the SYN of a flow whose hold deadline is set.
+func (t *Table) startHold(now time.Duration, f *flow, route *fleet.RouteState) {
+	f.lastPacketAt, f.heldAt = now, now
 	expiresAt := f.holdDeadline
 	if !f.overdue {
 		expiresAt = min(expiresAt, now+time.Duration(freshRatio*float64(route.Objective)))
 	}
-	t.enqueue(now, l, f)
-	l.evictionPending = true
+	t.enqueue(now, f)
 	t.timers.push(timer{expiresAt: expiresAt, flow: f, generation: f.generation, kind: holdTimer})
-	return true
 }
 
 // limitedHoldTime returns the age up to which a SYN is held while the service
@@ -57,8 +67,13 @@
 	return min(maxHold, route.Timeout-time.Duration(serverTimeRatio*float64(route.Objective)))
 }
 
-// enqueue adds the held SYN of a flow to the queue of its service.
-func (t *Table) enqueue(now time.Duration, l *limiter, f *flow) {
+// enqueue adds the held SYN of a flow to those of the link or of its service.
+func (t *Table) enqueue(now time.Duration, f *flow) {
+	if f.heldByLink {
+		t.linkQueue.Push(&f.held, f.overdue)
+		return
+	}
+	l := t.limiter(f.service)
 	if l.held.Len() == 0 {
 		l.releases.start(now)
 	}
@@ -71,11 +86,21 @@
 
 // unhold removes the SYN of a flow from the held ones if it is one of them.
 func (t *Table) unhold(f *flow) {
-	if f.held.IsHeld() {
+	switch {
+	case !f.held.IsHeld():
+	case f.heldByLink:
+		t.linkQueue.Remove(&f.held)
+	default:
 		t.limiter(f.service).held.Remove(&f.held)
 	}
 }
 
+// mustWait reports whether the service of a held SYN has a limit, or the link that
+// holds it is full.
+func (t *Table) mustWait(f *flow) bool {
+	return t.limiter(f.service).limit > 0 || f.heldByLink && t.link.isFull()
+}
+
 // nextReleased returns a held SYN that its limiter admits now, or else the refusal
 // of one of too many; ok is false if there is neither.
 func (t *Table) nextReleased(now time.Duration) (Resend, bool) {
@@ -113,18 +138,18 @@
 }
 
 // handleHoldTimeout handles the expiry of a hold. A fresh SYN becomes overdue.
-// An overdue one is sent to a server if the service has no limit any more.
+// An overdue one is sent to a server if it need not wait any more.
 // Otherwise it is refused, or dropped if another host may have received the
 // SYN. If a retransmission is due about now, that decision waits until it has
 // arrived or should have.
 func (t *Table) handleHoldTimeout(now time.Duration, f *flow) (Resend, bool) {
 	if now < f.holdDeadline {
 		f.overdue = true
-		t.enqueue(now, t.limiter(f.service), f)
+		t.enqueue(now, f)
 		t.timers.push(timer{expiresAt: f.holdDeadline, flow: f, generation: f.generation, kind: holdTimer})
 		return Resend{}, false
 	}
-	if t.limiter(f.service).limit == 0 {
+	if !t.mustWait(f) {
 		return t.release(now, f)
 	}
 	if end := f.nextSYNAt + refusalMargin; f.synsSeen > 0 && !f.canRefuse(now) && now < end {
@@ -137,20 +162,20 @@
 
 // refuseHeld deletes a flow whose SYN is held and returns its refusal.
 func (t *Table) refuseHeld(now time.Duration, f *flow) Resend {
-	r := Resend{Key: f.key, Priority: f.held.Priority, Waited: now - f.heldAt}
+	r := Resend{Key: f.key, Priority: f.held.Priority, Waited: now - f.heldAt, LinkFull: f.heldByLink}
 	t.deleteFlow(f)
 	return r
 }
 
 // handleHeldRetransmission handles a retransmission of a held SYN. If the hold
-// has ended, the service has a limit and no other host can have received the
+// has ended, the SYN must still wait and no other host can have received the
 // SYN, it refuses the flow. Otherwise the SYN stays held.
 func (t *Table) handleHeldRetransmission(now time.Duration, f *flow) Verdict {
-	if now < f.holdDeadline || t.limiter(f.service).limit == 0 || !f.canRefuse(now) {
+	if now < f.holdDeadline || !t.mustWait(f) || !f.canRefuse(now) {
 		return Verdict{Action: Hold, Priority: f.held.Priority}
 	}
 	r := t.refuseHeld(now, f)
-	return Verdict{Action: Refuse, Reason: Overload, Priority: r.Priority, Waited: r.Waited}
+	return Verdict{Action: Refuse, Reason: Overload, Priority: r.Priority, Waited: r.Waited, LinkFull: r.LinkFull}
 }
 
 // startAnswerTimer sets the timer after which a flow is no longer in flight, since
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -103,8 +103,10 @@
 	Tries int
 	// Priority is that of the route if the SYN is held or refused, and Waited how
 	// long the SYN of a flow that is refused was held.
+	// LinkFull reports whether the SYN waited for the host's link.
 	Priority int
 	Waited   time.Duration
+	LinkFull bool
 	// Adopted reports whether the Table had no state on the flow before the
 	// packet. ForeignMark reports whether the packet carries the mark of another
 	// server than that of the flow, to which the packet goes.
@@ -123,10 +125,11 @@
 	Unresponsive *fleet.Server
 	// Priority is that of the route of a refused flow, and Waited how long its SYN
 	// was held. Evicted reports whether it is refused before the end of its hold,
-	// because too many SYNs are held.
-	Priority int
-	Waited   time.Duration
-	Evicted  bool
+	// because too many SYNs are held. LinkFull reports whether it waited for the
+	// host's link.
+	Priority          int
+	Waited            time.Duration
+	Evicted, LinkFull bool
 	// RawSYN holds the bytes of the SYN as received. They are valid until the
 	// next call of a method of the Table.
 	RawSYN []byte
--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -11,6 +11,7 @@
 	t.unhold(f)
 	if f.tries == 0 {
 		t.limiter(f.service).releases.record(now)
+		t.link.recordFlow(now, f.key.Service)
 	}
 	f.triedMarks[f.tries] = s.Mark
 	f.tries++
@@ -31,7 +32,7 @@
 	}
 	for len(t.timers) > 0 {
 		if e := &t.timers[0]; !e.isStale() {
-			return e.expiresAt, true
+			return min(e.expiresAt, t.linkDeadline()), true
 		}
 		t.timers.pop()
 	}
@@ -68,6 +69,9 @@
 			return r, true
 		}
 	}
+	if r, ok = t.nextFromLink(now); ok {
+		return r, true
+	}
 	return t.nextReleased(now)
 }
 
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -24,6 +24,9 @@
 	// SplitIdleTimeout is the same for flows whose SYN more than one server may
 	// have received. The default is 60 s.
 	SplitIdleTimeout time.Duration
+	// LinkRate is the rate in bytes per second of the link on which the host
+	// forwards packets. The default is 0, which sets no limit.
+	LinkRate float64
 	// Rand breaks ties between servers.
 	Rand *rand.Rand
 }
@@ -63,6 +66,10 @@
 	limiters        map[string]*limiter
 	holdingLimiters []*limiter
 	timers          timerHeap
+	// link is the load of the host's link, and linkQueue holds the SYNs that wait
+	// for it.
+	link      link
+	linkQueue Order[*flow]
 	// centres holds the reachability of each data centre.
 	centres map[string]*centreReachability
 	// newProbes holds the probes that TakeProbes returns next, and pendingResets
@@ -98,15 +105,18 @@
 	if settings.SplitIdleTimeout == 0 {
 		settings.SplitIdleTimeout = defaultSplitIdleTimeout
 	}
-	return &Table{
+	t := &Table{
 		settings: settings, hostCount: 1, limiters: map[string]*limiter{}, flows: map[Key]*flow{}, health: map[uint32]*Health{}, estimators: map[string]*handshakeEstimator{},
 		answerTimes: map[netip.AddrPort]*typicalAnswerTime{}, centres: map[string]*centreReachability{},
 	}
+	t.link.setRate(settings.LinkRate)
+	return t
 }
 
 // SetView replaces the view of the servers and routes.
 func (t *Table) SetView(now time.Duration, v *fleet.View) {
 	t.view = v
+	t.link.setView(v)
 	for m, s := range v.ServersByMark {
 		h := t.health[m]
 		if h == nil || h.started != s.Started {
@@ -148,10 +158,16 @@
 	if t.view == nil {
 		return Verdict{Reason: NoView}
 	}
+	var v Verdict
 	if p.SYN {
-		return t.handleSYN(now, p, raw)
+		v = t.handleSYN(now, p, raw)
+	} else {
+		v = t.handleNonSYN(now, p)
 	}
-	return t.handleNonSYN(now, p)
+	if v.Action == Forward {
+		t.link.recordPacket(now, p.Key.Service, len(raw))
+	}
+	return v
 }
 
 // handleSYN decides on a SYN or a retransmission of it.
@@ -178,7 +194,7 @@
 	if len(t.flows) < t.settings.MaxFlows && len(raw) <= maxSYNSize {
 		f = t.newFlow(p, service, raw)
 		f.recordSYN(now, p)
-		if t.holdIfFull(now, f, route, p) {
+		if t.holdForLink(now, f, route, p) || t.holdIfFull(now, f, route, p) {
 			return Verdict{Action: Hold, Priority: route.Priority}
 		}
 		t.recordSYNSent(now, f, s)
