--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -8,6 +8,11 @@
 
 // recordSYNSent records that the SYN of a flow is sent to a server.
 func (t *Table) recordSYNSent(now time.Duration, f *flow, s *fleet.Server) {
+	t.unhold(f)
+	if f.tries == 0 {
+		t.limiter(f.service).releases.record(now)
+		t.link.recordFlow(now, f.key.Service)
+	}
 	f.triedMarks[f.tries] = s.Mark
 	f.tries++
 	f.sentAt = now
@@ -22,12 +27,12 @@
 // NextDeadline returns when NextResend must be called next; ok is false if no
 // timer is set and no SYN can be released.
 func (t *Table) NextDeadline() (at time.Duration, ok bool) {
-	if t.canRelease() {
+	if t.canRelease() || t.mayEvict() {
 		return 0, true
 	}
 	for len(t.timers) > 0 {
 		if e := &t.timers[0]; !e.isStale() {
-			return e.expiresAt, true
+			return min(e.expiresAt, t.linkDeadline()), true
 		}
 		t.timers.pop()
 	}
@@ -64,6 +69,9 @@
 			return r, true
 		}
 	}
+	if r, ok = t.nextFromLink(now); ok {
+		return r, true
+	}
 	return t.nextReleased(now)
 }
 
