Evacuations: held SYNs, references, incomplete views, cold servers after the end

Cause: with all data centres evacuated, held SYNs were dropped without an answer, a starting host took services for incomplete for 2 s, and a host whose view was older than 3 s dropped new flows. A server of an evacuated data centre could be the reference of a probe. Servers that became cold shortly before the end of an evacuation got flows at full rate. References are outside evacuated data centres. Where the document limits cold servers, servers count as cold from the end of the evacuation, also on hosts that start within a flow lifetime of it (retained state).

--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -206,9 +206,12 @@
 		}
 		c.decodeItem(i, servers)
 	})
-	c.builder.SetEvacuated(evacuated)
+	c.builder.SetEvacuated(now, evacuated)
 	previous := c.documentVersion
 	view := c.builder.Build(now, now-c.replica.Age(now), c.replica.Revision(), c.document, servers)
+	if !c.replica.Loaded() {
+		view.Incomplete = true // The preview lacks items.
+	}
 	if c.documentVersion = view.DocumentVersion; c.documentVersion != previous {
 		c.host.events.Add(event.Event{Kind: event.Adopted, Revision: view.DocumentVersion})
 	}
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -106,7 +106,7 @@
 		zap.Int("hosts", len(reply.KnownHosts)),
 		zap.Int("departedServers", len(reply.RetainedState.Servers)), zap.Int("formerTargets", len(reply.RetainedState.Targets)))
 	c.host.dropInvalid(from.String(), &reply.RetainedState)
-	if len(reply.RetainedState.Servers)+len(reply.RetainedState.Targets) == 0 {
+	if reply.RetainedState.IsEmpty() {
 		return
 	}
 	c.builder.MergeRetainedState(now, reply.RetainedState)
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -402,9 +402,10 @@
 
 // refuseFlow resets a flow that cannot be opened. If the view is too old to
 // tell that a route or a server does not exist, it drops the packet without an
-// answer, except in case of overload.
+// answer, except in case of overload or evacuations of all servers.
 func (t *traffic) refuseFlow(now time.Duration, p *steer.Packet, reason steer.Reason) {
-	if reason != steer.Overload && now-t.current.confirmedAt > maxRefusalViewAge {
+	isCertain := reason == steer.Overload || reason == steer.NoServer && t.current.view.IsEvacuated(p.Key.Service)
+	if !isCertain && now-t.current.confirmedAt > maxRefusalViewAge {
 		t.counters.Dropped[reason].Add(1)
 		t.log.packetDropped(now, p, reason, t.current)
 		return
@@ -452,7 +453,7 @@
 			break
 		}
 		if r.Server == nil {
-			t.refuseFlow(now, &steer.Packet{Key: r.Key}, steer.Overload)
+			t.refuseFlow(now, &steer.Packet{Key: r.Key}, r.Reason)
 			t.writer.Flush()
 			continue
 		}
--- a/internal/marked/valid.go
+++ b/internal/marked/valid.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -77,6 +78,7 @@
 func (h *Host) dropInvalid(from string, r *fleet.RetainedState) {
 	r.Servers = slices.DeleteFunc(r.Servers, func(d fleet.DepartedServer) bool { return h.isInvalid(from, d.Validate()) })
 	r.Targets = slices.DeleteFunc(r.Targets, func(f fleet.FormerTarget) bool { return h.isInvalid(from, f.Validate()) })
+	maps.DeleteFunc(r.SinceEvacuation, func(_ string, ago time.Duration) bool { return ago < 0 || ago > maxMessageAge })
 }
 
 // validPins returns the valid pins among those of another host.
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -41,8 +41,11 @@
 	routes map[netip.AddrPort]*routeRecord
 	// services maps names to the services of the document.
 	services map[string]Service
-	// evacuated holds the data centres whose servers get no new flows.
-	evacuated map[string]bool
+	// evacuated holds the data centres whose servers get no new flows, and
+	// evacuationEnds the times at which this host learned of the ends of earlier
+	// evacuations.
+	evacuated      map[string]bool
+	evacuationEnds map[string]time.Duration
 	// nextChange is the earliest time at which the view may change without a
 	// change in the store, 0 if there is none.
 	nextChange time.Duration
@@ -83,13 +86,20 @@
 	}
 	return &Builder{
 		settings: settings, marks: mark.NewTable(settings.FlowLifetime),
-		servers: map[string]*serverRecord{}, routes: map[netip.AddrPort]*routeRecord{},
+		servers: map[string]*serverRecord{}, routes: map[netip.AddrPort]*routeRecord{}, evacuationEnds: map[string]time.Duration{},
 	}
 }
 
 // SetEvacuated replaces the set of data centres whose servers get no new flows. It
 // takes effect with the next Build.
-func (b *Builder) SetEvacuated(dataCentres map[string]bool) { b.evacuated = dataCentres }
+func (b *Builder) SetEvacuated(now time.Duration, dataCentres map[string]bool) {
+	for dataCentre := range b.evacuated {
+		if !dataCentres[dataCentre] {
+			b.evacuationEnds[dataCentre] = now
+		}
+	}
+	b.evacuated = dataCentres
+}
 
 // Build returns the view for a state of the store that was known to be current
 // at confirmedAt. The document is nil if there is none; servers maps IDs to
@@ -104,6 +114,8 @@
 		Usable:        map[string][]*Server{},
 		ServersByMark: map[uint32]*Server{},
 		Evacuated:     b.evacuated,
+
+		EvacuatedServices: map[string]bool{},
 	}
 	if doc != nil {
 		v.DocumentVersion = doc.Version
@@ -129,7 +141,8 @@
 
 // isIncomplete reports whether a target of a route has no usable server and
 // ExpiryGrace has not yet passed since the first document. Entries that expired
-// during an outage of the store are written again within that time.
+// during an outage of the store are written again within that time. A service whose
+// servers are in evacuated data centres is not incomplete.
 func (b *Builder) isIncomplete(now time.Duration, v *View) bool {
 	if !b.hasDocument {
 		b.hasDocument = true
@@ -140,7 +153,7 @@
 		return false
 	}
 	for _, r := range v.Routes {
-		if slices.ContainsFunc(r.Targets, func(t Target) bool { return len(v.Usable[t.Service]) == 0 }) {
+		if slices.ContainsFunc(r.Targets, func(t Target) bool { return len(v.Usable[t.Service]) == 0 && !v.EvacuatedServices[t.Service] }) {
 			b.scheduleChange(end)
 			return true
 		}
@@ -206,11 +219,29 @@
 		s.Mark = m
 		s.Departed = !r.inStore
 		s.Replaced = b.isReplaced(id, addresses)
+		s.WarmupEnd = b.warmupEnd(&s)
 		v.ServersByMark[m] = &s
-		if b.isUsable(now, r) && addresses[s.Address] == id {
+		switch {
+		case addresses[s.Address] != id || !b.isUsable(now, r):
+		case b.evacuated[s.DataCentre]:
+			v.EvacuatedServices[s.Service] = true
+		default:
 			v.Usable[s.Service] = append(v.Usable[s.Service], &s)
 		}
 	}
+	maps.DeleteFunc(v.EvacuatedServices, func(service string, _ bool) bool { return len(v.Usable[service]) > 0 })
+}
+
+// warmupEnd returns the end of the warm-up of a server. After an evacuation, a
+// server may have become cold without an entry that shows it yet, so if its service
+// has a limit on cold servers, it counts as cold from the end of the evacuation.
+func (b *Builder) warmupEnd(s *Server) time.Duration {
+	end, wasEvacuated := b.evacuationEnds[s.DataCentre]
+	service := b.services[s.Service]
+	if !wasEvacuated || service.WarmupRate == 0 {
+		return s.WarmupEnd
+	}
+	return max(s.WarmupEnd, end+service.WarmupDuration)
 }
 
 // isReplaced reports whether another server, which is in the store, has
@@ -251,9 +282,10 @@
 	return cmp.Less(a.server.ID, b.server.ID)
 }
 
-// isUsable reports whether a server may receive new flows.
+// isUsable reports whether a server may receive new flows unless its data centre is
+// evacuated.
 func (b *Builder) isUsable(now time.Duration, r *serverRecord) bool {
-	if r.server.State != Ready || b.evacuated[r.server.DataCentre] {
+	if r.server.State != Ready {
 		return false
 	}
 	if r.inStore {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -148,11 +149,21 @@
 	Incomplete bool
 	// Services maps names to the services of the document.
 	Services map[string]Service
-	// Evacuated holds the data centres whose servers get no new flows.
-	Evacuated map[string]bool
+	// Evacuated holds the data centres whose servers get no new flows, and
+	// EvacuatedServices the services that have servers for new flows in these data
+	// centres only.
+	Evacuated, EvacuatedServices map[string]bool
 	// Usable maps each service to its servers for new flows, sorted by ID.
 	Usable map[string][]*Server
 	// ServersByMark maps marks to servers. It contains every server to which an
 	// open flow may belong.
 	ServersByMark map[uint32]*Server
 }
+
+// IsEvacuated reports whether all servers for new flows of a route are in evacuated
+// data centres. However old the view is, such flows are to be refused.
+func (v *View) IsEvacuated(route netip.AddrPort) bool {
+	r := v.Routes[route]
+	return r != nil && len(r.Targets) > 0 &&
+		!slices.ContainsFunc(r.Targets, func(t Target) bool { return !v.EvacuatedServices[t.Service] })
+}
--- a/pkg/fleet/retained.go
+++ b/pkg/fleet/retained.go
@@ -14,6 +14,14 @@
 type RetainedState struct {
 	Servers []DepartedServer `json:"servers,omitempty"`
 	Targets []FormerTarget   `json:"targets,omitempty"`
+	// SinceEvacuation maps data centres to the times since the ends of their latest
+	// evacuations. The times are not negative.
+	SinceEvacuation map[string]time.Duration `json:"evacuated,omitempty"`
+}
+
+// IsEmpty reports whether r contains nothing.
+func (r *RetainedState) IsEmpty() bool {
+	return len(r.Servers)+len(r.Targets)+len(r.SinceEvacuation) == 0
 }
 
 // DepartedServer is a server whose entry disappeared from the store.
@@ -41,6 +49,14 @@
 			out.Servers = append(out.Servers, DepartedServer{Server: *r.server, SinceRemoval: now - r.removedAt})
 		}
 	}
+	for dataCentre, end := range b.evacuationEnds {
+		if now-end < b.settings.FlowLifetime && !b.evacuated[dataCentre] {
+			if out.SinceEvacuation == nil {
+				out.SinceEvacuation = map[string]time.Duration{}
+			}
+			out.SinceEvacuation[dataCentre] = now - end
+		}
+	}
 	for a, r := range b.routes {
 		for service, until := range r.serviceUntil {
 			if !isTarget(r.Targets, service) && until > now {
@@ -56,8 +72,14 @@
 
 // MergeRetainedState adds the retained state of another host. Servers that b has
 // already are not changed; of two lifetimes of a former target, the longer one
-// applies. The change takes effect in the next Build.
+// applies, and of two ends of an evacuation, the later one. The change takes effect
+// in the next Build.
 func (b *Builder) MergeRetainedState(now time.Duration, r RetainedState) {
+	for dataCentre, ago := range r.SinceEvacuation {
+		if end, known := b.evacuationEnds[dataCentre]; !known || now-ago > end {
+			b.evacuationEnds[dataCentre] = now - ago
+		}
+	}
 	for _, d := range r.Servers {
 		ago := d.SinceRemoval
 		if b.servers[d.Server.ID] != nil || ago >= b.settings.FlowLifetime {
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -89,12 +89,14 @@
 	return Resend{}, false
 }
 
-// release sends a held SYN to a server. If there is none, it deletes the flow.
+// release sends a held SYN to a server. If there is none, it deletes the flow, and
+// refuses it if no other host may have received the SYN.
 func (t *Table) release(now time.Duration, f *flow) (Resend, bool) {
 	s := t.chooseServer(now, f.service, nil)
 	if s == nil {
+		key, refuse := f.key, f.canRefuse(now) && !t.view.Incomplete
 		t.deleteFlow(f)
-		return Resend{}, false
+		return Resend{Key: key, Reason: NoServer}, refuse
 	}
 	t.recordSYNSent(now, f, s)
 	n := copy(t.resendBuffer[:], f.rawSYN[:f.rawSYNSize])
@@ -122,7 +124,7 @@
 	}
 	key, refuse := f.key, f.canRefuse(now)
 	t.deleteFlow(f)
-	return Resend{Key: key}, refuse
+	return Resend{Key: key, Reason: Overload}, refuse
 }
 
 // handleHeldRetransmission handles a retransmission of a held SYN. If the hold
--- a/pkg/steer/limiter.go
+++ b/pkg/steer/limiter.go
@@ -95,6 +95,9 @@
 	fresh, overdue []heldSYN
 	// isListed reports whether the limiter is in Table.holdingLimiters.
 	isListed bool
+	// hasNoServer reports whether no server accepts flows of the service any more, so
+	// that held SYNs are refused at once.
+	hasNoServer bool
 }
 
 // heldSYN refers to a flow whose SYN is held. It is stale if the generation of
@@ -135,6 +138,9 @@
 // isFull reports whether new SYNs must be held. Overdue ones are also held
 // while at least as many flows are in flight as this host's share of the slots.
 func (l *limiter) isFull(overdue bool) bool {
+	if l.hasNoServer {
+		return false
+	}
 	return l.limit > 0 && float64(l.inFlight) >= l.limit || overdue && float64(l.inFlight) >= l.slotShare
 }
 
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -112,9 +112,9 @@
 // also the refusal of a flow whose hold ended.
 type Resend struct {
 	Key Key
-	// Server is the destination, nil if the flow is to be refused with
-	// Overload.
+	// Server is the destination, nil if the flow is to be refused for Reason.
 	Server *fleet.Server
+	Reason Reason
 	// Unresponsive is the server that did not answer; nil if the SYN was held.
 	Unresponsive *fleet.Server
 	// RawSYN holds the bytes of the SYN as received. They are valid until the
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -125,6 +125,7 @@
 	}
 	for service, l := range t.limiters {
 		l.slotShare = t.slotShare(service)
+		l.hasNoServer = len(v.Usable[service]) == 0 && !v.Incomplete
 		if len(v.Usable[service]) == 0 && l.inFlight == 0 && !l.isListed {
 			delete(t.limiters, service)
 		}
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -194,12 +194,13 @@
 
 // chooseReference returns the reference for a probe of s: the server that
 // answered last, preferably outside the data centre of s. It returns nil if there
-// is no other server.
+// is no other server. A server of an evacuated data centre is no reference, since it
+// may be stopped at any time.
 func (t *Table) chooseReference(now time.Duration, s *fleet.Server) *fleet.Server {
 	var best *fleet.Server
 	for m, h := range t.health {
 		other := t.view.ServersByMark[m]
-		if other == nil || other == s || other.Departed || h.isSuspect() || t.isUnreachable(now, other) {
+		if other == nil || other == s || other.Departed || t.view.Evacuated[other.DataCentre] || h.isSuspect() || t.isUnreachable(now, other) {
 			continue
 		}
 		if best == nil || t.isBetterReference(now, s, other, best) {
@@ -316,11 +317,11 @@
 	}
 	if len(others) == 0 && silent > 1 || silent >= minSilentServers+centreProbes {
 		c.unreachableUntil = now + unreachableHold
-		for _, s := range others {
-			if t.mayProbe(now, s) && t.hasResettable(s.Mark) {
-				t.requestProbe(now, s)
-			}
-		}
+		t.probeResettable(now, others)
+		return
+	}
+	if t.view.Evacuated[dataCentre] {
+		t.probeResettable(now, others) // New flows avoid the others in any case.
 		return
 	}
 	slices.SortFunc(others, func(a, b *fleet.Server) int {
@@ -331,6 +332,15 @@
 	}
 }
 
+// probeResettable requests probes of those servers with open flows that may be reset.
+func (t *Table) probeResettable(now time.Duration, servers []*fleet.Server) {
+	for _, s := range servers {
+		if t.mayProbe(now, s) && t.hasResettable(s.Mark) {
+			t.requestProbe(now, s)
+		}
+	}
+}
+
 // pendingReset refers to a flow to be reset. It is stale if the generation of the
 // flow has changed.
 type pendingReset struct {
