Evacuations: logs, events, gauge, status; new flows wait after a long pause

Cause: nothing showed an operator whether an evacuation is in force on a host. A host that was paused for longer than the bound chose servers by its old view when it resumed, and took messages from its socket buffers for current. Change: a log line and an event at the start and the end of each evacuation, the gauge lagoonramp_data_centres_evacuated, and the data centres in status. After a pause of 2 s or more, SYNs are dropped until the view is confirmed, at most for 1 s; the watch then asks without waiting, and messages that may have waited during the pause count as that old. Unit tests of the pause.

--- a/cmd/lagoonramp/status.go
+++ b/cmd/lagoonramp/status.go
@@ -101,6 +101,9 @@
 		if s.PlatformDown {
 			state += ", no platform"
 		}
+		if len(s.Evacuated) > 0 {
+			state += ", evacuates " + strings.Join(s.Evacuated, " ")
+		}
 		if s.Alarm != "" {
 			state += ", alarm " + s.Alarm
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,10 @@
 	// OutcomeUnknown reports a request for which the host cannot know whether a
 	// server ran it.
 	OutcomeUnknown Kind = "outcomeUnsure"
+	// Evacuated and EvacuationEnded report that servers of the data centre in Cause
+	// get no new flows from the host, and that they do again.
+	Evacuated       Kind = "evacuated"
+	EvacuationEnded Kind = "evacuationEnded"
 )
 
 // Event is an entry of the timeline.
--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -70,6 +71,7 @@
 	if p := h.published.Load(); p != nil {
 		s.Revision = p.view.DocumentVersion
 		s.InForceSince = h.started.Add(p.confirmedAt)
+		s.Evacuated = slices.Sorted(maps.Keys(p.view.Evacuated))
 	} else {
 		s.Alarm = "no configuration is known: neither the store nor a peer gave one"
 	}
@@ -258,6 +260,7 @@
 	if p := h.published.Load(); p != nil {
 		metrics.WriteGaugeUint64(w, `lagoonramp_configuration_revision`, p.view.DocumentVersion)
 		metrics.WriteGaugeUint64(w, `lagoonramp_store_revision`, p.view.StoreRevision)
+		metrics.WriteGaugeUint64(w, `lagoonramp_data_centres_evacuated`, uint64(len(p.view.Evacuated)))
 		metrics.WriteGaugeFloat64(w, `lagoonramp_view_age_seconds`, (h.now() - p.confirmedAt).Seconds())
 	}
 	avoided := map[string]uint64{}
--- a/internal/marked/clock.go
+++ b/internal/marked/clock.go
@@ -16,6 +16,13 @@
 	// pauseThreshold is the time without a heartbeat after which the process
 	// counts as having been paused.
 	pauseThreshold = 700 * time.Millisecond
+	// longPause is the duration of a pause from which on the view may lack an
+	// evacuation whose bound has passed: hosts learn of a change within 3 s, and the
+	// bound is 5 s.
+	longPause = 2 * time.Second
+	// backlogTime is the time after a pause for which messages that are read may
+	// have arrived during it.
+	backlogTime = 200 * time.Millisecond
 )
 
 // clock measures the time since the host's start and detects pauses of the
@@ -28,6 +35,9 @@
 	// pauseThreshold.
 	lastHeartbeat atomic.Int64
 	pauseCount    atomic.Uint64
+	// pausedAt and resumedAt are the beginning and the end of the latest pause, 0 if
+	// there was none. longPauseEnd is the end of the latest one of at least longPause.
+	pausedAt, resumedAt, longPauseEnd atomic.Int64
 }
 
 func newClock() *clock { return &clock{epoch: sinceBoot()} }
@@ -53,9 +63,24 @@
 // number of pauses of the process so far. After it changes, packets in the
 // socket buffers may be old.
 func (c *clock) heartbeat(now time.Duration) uint64 {
-	if now-time.Duration(c.lastHeartbeat.Load()) > pauseThreshold {
+	last := time.Duration(c.lastHeartbeat.Swap(int64(now)))
+	if now-last > pauseThreshold {
+		c.pausedAt.Store(int64(last))
+		c.resumedAt.Store(int64(now))
+		if now-last >= longPause {
+			c.longPauseEnd.Store(int64(now))
+		}
 		c.pauseCount.Add(1)
 	}
-	c.lastHeartbeat.Store(int64(now))
 	return c.pauseCount.Load()
 }
+
+// earliestArrival returns the earliest time at which a message that is read at now
+// may have arrived: just after a pause, this is the beginning of the pause.
+func (c *clock) earliestArrival(now time.Duration) time.Duration {
+	c.heartbeat(now)
+	if resumedAt := time.Duration(c.resumedAt.Load()); resumedAt > 0 && now-resumedAt < backlogTime {
+		return time.Duration(c.pausedAt.Load())
+	}
+	return now
+}
--- a/internal/marked/clock_test.go
+++ b/internal/marked/clock_test.go
@@ -26,3 +26,16 @@
 	is.True(before >= 0)
 	is.True(c.now() >= before)
 }
+
+// TestMessagesOfAPauseAreOld guards against a view that counts as current because of
+// a message that waited in a socket buffer while the process was paused.
+func TestMessagesOfAPauseAreOld(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	c.heartbeat(time.Second)
+	is.Equal(c.earliestArrival(1200*time.Millisecond), 1200*time.Millisecond)
+	const resumed = 9 * time.Second
+	is.Equal(c.earliestArrival(resumed), 1200*time.Millisecond)
+	is.Equal(c.earliestArrival(resumed+backlogTime-1), 1200*time.Millisecond)
+	is.Equal(c.earliestArrival(resumed+backlogTime), resumed+backlogTime)
+}
--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,6 +54,9 @@
 	// change in the store, for example because entries of servers expired and
 	// may be written again.
 	shortWatchWait = 400 * time.Millisecond
+	// staleWatchWait replaces watchWait while the view is old, for example after a
+	// pause, so that the answer shows at once whether there are changes.
+	staleWatchWait = time.Millisecond
 	// minWatchGrace is the time that a watch may take beyond its wait. Each
 	// consecutive timeout doubles it up to maxWatchGrace, since the store may be
 	// slow.
@@ -92,6 +97,8 @@
 	// previewParts the number of parts in which they came.
 	previewItems []mirror.Item
 	previewParts int
+	// evacuated holds the data centres that are evacuated as of the latest view.
+	evacuated map[string]bool
 	// trafficStarted is set once the traffic loop may forward packets.
 	trafficStarted bool
 }
@@ -207,6 +214,7 @@
 		c.decodeItem(i, servers)
 	})
 	c.builder.SetEvacuated(now, evacuated)
+	c.reportEvacuations(now, evacuated)
 	previous := c.documentVersion
 	view := c.builder.Build(now, now-c.replica.Age(now), c.replica.Revision(), c.document, servers)
 	if !c.replica.Loaded() {
@@ -226,6 +234,26 @@
 	}
 }
 
+// reportEvacuations logs the evacuations that started or ended since the latest view.
+func (c *control) reportEvacuations(now time.Duration, evacuated map[string]bool) {
+	report := func(text string, kind event.Kind, dataCentre string) {
+		revision := c.replica.Revision()
+		c.host.log.Info(text, zap.String("dataCentre", dataCentre), zap.Uint64("revision", revision), zap.Duration("age", c.replica.Age(now)))
+		c.host.events.Add(event.Event{Kind: kind, Cause: "data centre " + dataCentre})
+	}
+	for _, dataCentre := range slices.Sorted(maps.Keys(evacuated)) {
+		if !c.evacuated[dataCentre] {
+			report("control: evacuation started, no new flows to the data centre", event.Evacuated, dataCentre)
+		}
+	}
+	for _, dataCentre := range slices.Sorted(maps.Keys(c.evacuated)) {
+		if !evacuated[dataCentre] {
+			report("control: evacuation ended, new flows to the data centre", event.EvacuationEnded, dataCentre)
+		}
+	}
+	c.evacuated = evacuated
+}
+
 // startTraffic lets the traffic loop start with the first view that has an
 // operators' document.
 func (c *control) startTraffic(view *fleet.View) {
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -340,6 +340,8 @@
 			p.host.rejectMessage(from.String(), err)
 			continue
 		}
+		now := p.host.now()
+		d.Age = min(max(0, d.Age), maxMessageAge) + now - p.host.clock.earliestArrival(now)
 		p.host.postToControl(func(c *control) { p.handleDigest(p.host.now(), &d, c) })
 	}
 }
--- a/internal/marked/testbed_test.go
+++ b/internal/marked/testbed_test.go
@@ -47,6 +47,9 @@
 	version int
 	// dropSYNACK is the DropSYNACK of all servers.
 	dropSYNACK func(caller netip.AddrPort) bool
+	// serverDataCentre is the data centre of added servers, localDataCentre if it is
+	// empty.
+	serverDataCentre string
 	// dataCentres holds the data centres of hosts outside that of the callers, by
 	// their numbers.
 	dataCentres map[int]string
@@ -124,7 +127,7 @@
 func (w *testbed) addServer(service string) *stub.Server {
 	w.t.Helper()
 	n := len(w.servers) + 1
-	s := &stub.Server{ID: fmt.Sprintf("i-%010x", n), Service: service, DataCentre: localDataCentre, Slots: 3, DropSYNACK: w.dropSYNACK}
+	s := &stub.Server{ID: fmt.Sprintf("i-%010x", n), Service: service, DataCentre: cmp.Or(w.serverDataCentre, localDataCentre), Slots: 3, DropSYNACK: w.dropSYNACK}
 	if err := w.AddServer(s, w.ServerAddress(n)); err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -60,6 +60,12 @@
 	// maxRefusalViewAge is the maximum age of the view for refusing a flow, except
 	// because of overload.
 	maxRefusalViewAge = 3 * time.Second
+	// maxViewWait is the time after a long pause for which new flows wait for a view
+	// that is confirmed to be current. After that, the store and the other hosts are
+	// not reachable, and the known view stays in force. awaitViewInterval is the
+	// interval at which the traffic loop checks for the view.
+	maxViewWait       = time.Second
+	awaitViewInterval = 20 * time.Millisecond
 )
 
 // Counters holds the counts of the packets and flows that the traffic loop has
@@ -96,7 +102,7 @@
 	// host that has become ready.
 	reroutingEnd atomic.Int64
 	// batchStale is set if the packets of the current batch may have arrived
-	// while the process was paused. Their SYNs are dropped: the caller may have
+	// while the process was paused, or if the view may lack an evacuation since. Their SYNs are dropped: the caller may have
 	// opened the flow through another host in the meantime, and a second server
 	// would break it.
 	batchStale bool
@@ -234,6 +240,9 @@
 	if t.allPinsRequested.Load() && (!ok || t.nextPinAnnounce < at) {
 		at, ok = t.nextPinAnnounce, true
 	}
+	if t.awaitsView(t.lastClock) {
+		at = max(at, t.lastClock+awaitViewInterval)
+	}
 	var deadline time.Time
 	if ok {
 		deadline = time.Now().Add(at - t.lastClock)
@@ -327,12 +336,19 @@
 		t.pauseCount = p
 		t.inBacklog = true
 	}
-	t.batchStale = t.inBacklog
+	t.batchStale = t.inBacklog || t.awaitsView(now)
 	if n < batch.Size {
 		t.inBacklog = false
 	}
 }
 
+// awaitsView reports whether the process has been paused for so long that the view
+// may lack an evacuation, and the view has not been confirmed since. New flows wait.
+func (t *traffic) awaitsView(now time.Duration) bool {
+	end := time.Duration(t.clock.longPauseEnd.Load())
+	return end > 0 && now < end+maxViewWait && t.current != nil && t.current.confirmedAt < end
+}
+
 // handlePacket handles a packet, which follows the space for a frame in framed.
 func (t *traffic) handlePacket(now time.Duration, framed []byte) {
 	frameLength := t.codec.FrameLength()
@@ -446,6 +462,9 @@
 
 // sendDueSYNs sends or refuses the stored SYNs that are due at now.
 func (t *traffic) sendDueSYNs(now time.Duration) {
+	if t.awaitsView(now) {
+		return
+	}
 	frameLength := t.codec.FrameLength()
 	for {
 		r, ok := t.table.NextResend(now)
--- a/internal/marked/traffic_test.go
+++ b/internal/marked/traffic_test.go
@@ -45,6 +45,37 @@
 	is.True(!resent)
 }
 
+// TestNewFlowsWaitForViewAfterLongPause guards against a new flow to a data centre
+// that was evacuated while the process was paused: until the view is confirmed, SYNs
+// are dropped. If neither the store nor another host confirms it, the known view
+// stays in force.
+func TestNewFlowsWaitForViewAfterLongPause(t *testing.T) {
+	const pausedAt = 10 * time.Second
+	for _, tt := range []struct {
+		name             string
+		pause            time.Duration
+		confirmed, asked time.Duration // After the end of the pause.
+		want             bool
+	}{
+		{"short pause", time.Second, -1, time.Millisecond, false},
+		{"long pause", longPause, -1, time.Millisecond, true},
+		{"view confirmed since", longPause, 0, time.Millisecond, false},
+		{"nobody confirms the view", longPause, -1, maxViewWait, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			end := pausedAt + tt.pause
+			host := &traffic{clock: newClock(), current: &publishedView{confirmedAt: end + tt.confirmed}}
+			host.clock.heartbeat(pausedAt - pauseThreshold)
+			host.clock.heartbeat(pausedAt)
+			host.detectStale(end, 1) // Empties the socket.
+			host.detectStale(end+tt.asked/2, 1)
+			host.detectStale(end+tt.asked, 1)
+			is.Equal(host.batchStale, tt.want)
+		})
+	}
+}
+
 // twoServers returns a view with a route to a service with two servers.
 func twoServers(route netip.AddrPort) *fleet.View {
 	a := &fleet.Server{ID: "a", Service: "desk", DataCentre: "x", Slots: 2, Mark: 1}
--- a/internal/marked/watch.go
+++ b/internal/marked/watch.go
@@ -72,6 +72,9 @@
 	if h.shortWatch.Load() {
 		wait = shortWatchWait
 	}
+	if p := h.published.Load(); p != nil && at-p.confirmedAt > maxReplicaAge {
+		wait = staleWatchWait
+	}
 	d := &mirror.Delta{Snapshot: revision == 0 || h.needsSnapshot.Load()}
 	if d.Snapshot {
 		h.snapshotReads.Add(1)
@@ -79,7 +82,7 @@
 	} else {
 		d.Items, d.Revision, err = h.settings.Store.Watch(ctx, revision, wait, grace)
 		if len(d.Items) == 0 {
-			at = h.now()
+			at = max(at, h.clock.earliestArrival(h.now()))
 		}
 	}
 	if err != nil {
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -27,6 +27,8 @@
 	PlatformDown bool `json:"platformDown"`
 	// Alarm is the alarm of the host, empty if there is none.
 	Alarm string `json:"alarm,omitempty"`
+	// Evacuated lists the data centres whose servers get no new flows from the host.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Flows is the number of flows that are pinned on the host.
 	Flows    int             `json:"flows"`
 	Members  []MemberStatus  `json:"members"`
