Resolve marks of two servers alike on all hosts

Cause: of two servers whose IDs have the same mark, a host gave it to the one it learned of first, or to the one with the smaller ID if it learned of both at once. A restarted host sent the packets of one server's flows to the other. Change: the server in the store that started first holds the mark. If that becomes another server, the holder keeps the mark for two flow lifetimes, then the other one has it and gets new flows after one more; meanwhile neither gets any. A host that starts adopts the holders from the retained state of others, and follows the entries without delay while it may not have read all of them.

--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -54,6 +54,9 @@
 	// change in the store, for example because entries of servers expired and
 	// may be written again.
 	shortWatchWait = 400 * time.Millisecond
+	// maxShortWatch is the time before such a change from which on shortWatchWait
+	// applies. Marks of servers may change minutes later.
+	maxShortWatch = 5 * time.Second
 	// staleWatchWait replaces watchWait while the view is old, for example after a
 	// pause, so that the answer shows at once whether there are changes.
 	staleWatchWait = time.Millisecond
@@ -228,7 +231,7 @@
 	c.publish(now, view)
 	c.startTraffic(view)
 	next := c.builder.NextChange()
-	c.host.shortWatch.Store(next > 0)
+	c.host.shortWatch.Store(next > 0 && next-now < maxShortWatch)
 	if next > 0 {
 		c.rebuildTimer.Reset(max(next-now, minRebuildDelay))
 	}
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -106,11 +106,10 @@
 		zap.Int("hosts", len(reply.KnownHosts)),
 		zap.Int("departedServers", len(reply.RetainedState.Servers)), zap.Int("formerTargets", len(reply.RetainedState.Targets)))
 	c.host.dropInvalid(from.String(), &reply.RetainedState)
-	if reply.RetainedState.IsEmpty() {
-		return
-	}
 	c.builder.MergeRetainedState(now, reply.RetainedState)
-	c.buildView(now)
+	if !reply.RetainedState.IsEmpty() {
+		c.buildView(now)
+	}
 }
 
 // serveRetainedState writes the retained state for a host that has just started.
--- a/internal/marked/valid.go
+++ b/internal/marked/valid.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"lagoonramp.org/lagoonramp/pkg/fleet"
+	"lagoonramp.org/lagoonramp/pkg/mark"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/pkg/steer"
 )
@@ -78,6 +79,9 @@
 func (h *Host) dropInvalid(from string, r *fleet.RetainedState) {
 	r.Servers = slices.DeleteFunc(r.Servers, func(d fleet.DepartedServer) bool { return h.isInvalid(from, d.Validate()) })
 	r.Targets = slices.DeleteFunc(r.Targets, func(f fleet.FormerTarget) bool { return h.isInvalid(from, f.Validate()) })
+	r.Marks.Holdings = slices.DeleteFunc(r.Marks.Holdings, func(m mark.Holding) bool {
+		return m.ID == "" || min(m.ChallengedFor, m.QuietFor) < 0 || max(m.ChallengedFor, m.QuietFor) > maxMessageAge
+	})
 	maps.DeleteFunc(r.SinceEvacuation, func(_ string, ago time.Duration) bool { return ago < 0 || ago > maxMessageAge })
 }
 
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -207,7 +207,7 @@
 // addServers adds the servers to the view, except those whose mark belongs to
 // another server.
 func (b *Builder) addServers(now time.Duration, v *View) {
-	marks := b.marks.Update(now, slices.Collect(maps.Keys(b.servers)))
+	marks := b.updateMarks(now)
 	addresses := b.addressOwners()
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		r := b.servers[id]
@@ -222,7 +222,7 @@
 		s.WarmupEnd = b.warmupEnd(&s)
 		v.ServersByMark[m] = &s
 		switch {
-		case addresses[s.Address] != id || !b.isUsable(now, r):
+		case addresses[s.Address] != id || !b.isUsable(now, r) || !b.marks.AcceptsFlows(now, id):
 		case b.evacuated[s.DataCentre]:
 			v.EvacuatedServices[s.Service] = true
 		default:
@@ -232,6 +232,19 @@
 	maps.DeleteFunc(v.EvacuatedServices, func(service string, _ bool) bool { return len(v.Usable[service]) > 0 })
 }
 
+// updateMarks returns the marks of the servers that hold one.
+func (b *Builder) updateMarks(now time.Duration) map[string]uint32 {
+	claims := make([]mark.Claim, 0, len(b.servers))
+	for id, r := range b.servers {
+		claims = append(claims, mark.Claim{ID: id, Started: r.server.Started, Departed: !r.inStore})
+	}
+	marks := b.marks.Update(now, claims)
+	if next := b.marks.NextChange(); next > 0 {
+		b.scheduleChange(next)
+	}
+	return marks
+}
+
 // warmupEnd returns the end of the warm-up of a server. After an evacuation, a
 // server may have become cold without an entry that shows it yet, so if its service
 // has a limit on cold servers, it counts as cold from the end of the evacuation.
--- a/pkg/fleet/retained.go
+++ b/pkg/fleet/retained.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"lagoonramp.org/lagoonramp/pkg/mark"
 )
 
 // RetainedState is the state that open flows may depend on and that is no longer
@@ -17,6 +19,8 @@
 	// SinceEvacuation maps data centres to the times since the ends of their latest
 	// evacuations. The times are not negative.
 	SinceEvacuation map[string]time.Duration `json:"evacuated,omitempty"`
+	// Marks reports the holders of marks that several servers claim.
+	Marks mark.Report `json:"marks,omitzero"`
 }
 
 // IsEmpty reports whether r contains nothing.
@@ -43,7 +47,7 @@
 // RetainedState returns the servers and targets that b retains although they are
 // no longer in the store.
 func (b *Builder) RetainedState(now time.Duration) RetainedState {
-	var out RetainedState
+	out := RetainedState{Marks: b.marks.Report(now)}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		if r := b.servers[id]; !r.inStore && now-r.removedAt < b.settings.FlowLifetime {
 			out.Servers = append(out.Servers, DepartedServer{Server: *r.server, SinceRemoval: now - r.removedAt})
@@ -75,6 +79,7 @@
 // applies, and of two ends of an evacuation, the later one. The change takes effect
 // in the next Build.
 func (b *Builder) MergeRetainedState(now time.Duration, r RetainedState) {
+	b.marks.Adopt(now, r.Marks)
 	for dataCentre, ago := range r.SinceEvacuation {
 		if end, known := b.evacuationEnds[dataCentre]; !known || now-ago > end {
 			b.evacuationEnds[dataCentre] = now - ago
