--- a/internal/marked/clock.go
+++ b/internal/marked/clock.go
@@ -63,8 +63,7 @@
 // number of pauses of the process so far. After it changes, packets in the
 // socket buffers may be old.
 func (c *clock) heartbeat(now time.Duration) uint64 {
-	last := time.Duration(c.lastHeartbeat.Swap(int64(now)))
-	if now-last > pauseThreshold {
+	if last := time.Duration(c.lastHeartbeat.Load()); now-last > pauseThreshold {
 		c.pausedAt.Store(int64(last))
 		c.resumedAt.Store(int64(now))
 		if now-last >= longPause {
@@ -72,6 +71,7 @@
 		}
 		c.pauseCount.Add(1)
 	}
+	c.lastHeartbeat.Store(int64(now))
 	return c.pauseCount.Load()
 }
 
--- a/internal/marked/fuzz_test.go
+++ b/internal/marked/fuzz_test.go
@@ -77,6 +77,7 @@
 	f.Add([]byte(`{"upFor":120000000000,"remnants":{"servers":[{"server":{"id":"i-7f3a91c2","token":2134544834,"service":"desk","slots":3,"state":0},"ago":1000000000}]}}`))
 	f.Add([]byte(`{"upFor":-1,"remnants":{"servers":[{"server":{"id":"x","service":"desk","address":"[::1]:9","slots":-3,"state":9,"warmFor":-1},"ago":-9}],"targets":[{"left":9}]},"known":[{"address":"x"},{"address":"1.2.3.4:0","age":-5}]}`))
 	f.Add([]byte(`{"remnants":{"servers":[{"server":{"id":"x","service":"desk","address":"1.2.3.4:9","slots":1,"started":"9999-12-31T23:59:59Z"}}],"targets":[{"route":"198.18.0.1:443","service":"x","left":9223372036854775807}]}}`))
+	f.Add([]byte(`{"remnants":{"evacuated":{"a":-9223372036854775808,"b":9223372036854775807},"marks":{"known":true,"holdings":[{"id":""},{"id":"i-1","challenged":-9223372036854775808,"quiet":9223372036854775807}]}}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var reply retainedStateReply
 		if json.Unmarshal(data, &reply) != nil {
--- a/pkg/fleet/retained.go
+++ b/pkg/fleet/retained.go
@@ -81,7 +81,7 @@
 func (b *Builder) MergeRetainedState(now time.Duration, r RetainedState) {
 	b.marks.Adopt(now, r.Marks)
 	for dataCentre, ago := range r.SinceEvacuation {
-		if end, known := b.evacuationEnds[dataCentre]; !known || now-ago > end {
+		if end, known := b.evacuationEnds[dataCentre]; ago < b.settings.FlowLifetime && (!known || now-ago > end) {
 			b.evacuationEnds[dataCentre] = now - ago
 		}
 	}
