--- a/pkg/steer/excess.go
+++ b/pkg/steer/excess.go
@@ -81,7 +81,7 @@
 			return h.Owner.canRefuse(now) && l.isHopeless(now, h.Owner, rate)
 		})
 		if h != nil {
-			r = t.refuseHeld(now, h.Owner)
+			r = t.refuseHeld(now, h.Owner, Overload)
 			r.Evicted = true
 			return r, true
 		}
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -125,12 +125,13 @@
 	return Resend{}, false
 }
 
-// release sends a held SYN to a server. If there is none, it deletes the flow.
+// release sends a held SYN to a server. If there is none, it deletes the flow, and
+// refuses it if no other host may have received the SYN.
 func (t *Table) release(now time.Duration, f *flow) (Resend, bool) {
 	s := t.chooseServer(now, f.service, nil)
 	if s == nil {
-		t.deleteFlow(f)
-		return Resend{}, false
+		refuse := f.canRefuse(now) && !t.view.Incomplete
+		return t.refuseHeld(now, f, NoServer), refuse
 	}
 	t.recordSYNSent(now, f, s)
 	n := copy(t.resendBuffer[:], f.rawSYN[:f.rawSYNSize])
@@ -157,12 +158,12 @@
 		return Resend{}, false
 	}
 	refuse := f.canRefuse(now)
-	return t.refuseHeld(now, f), refuse
+	return t.refuseHeld(now, f, Overload), refuse
 }
 
 // refuseHeld deletes a flow whose SYN is held and returns its refusal.
-func (t *Table) refuseHeld(now time.Duration, f *flow) Resend {
-	r := Resend{Key: f.key, Priority: f.held.Priority, Waited: now - f.heldAt, LinkFull: f.heldByLink}
+func (t *Table) refuseHeld(now time.Duration, f *flow, reason Reason) Resend {
+	r := Resend{Key: f.key, Reason: reason, Priority: f.held.Priority, Waited: now - f.heldAt, LinkFull: f.heldByLink}
 	t.deleteFlow(f)
 	return r
 }
@@ -174,7 +175,7 @@
 	if now < f.holdDeadline || !t.mustWait(f) || !f.canRefuse(now) {
 		return Verdict{Action: Hold, Priority: f.held.Priority}
 	}
-	r := t.refuseHeld(now, f)
+	r := t.refuseHeld(now, f, Overload)
 	return Verdict{Action: Refuse, Reason: Overload, Priority: r.Priority, Waited: r.Waited, LinkFull: r.LinkFull}
 }
 
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -118,9 +118,9 @@
 // also the refusal of a flow whose hold ended.
 type Resend struct {
 	Key Key
-	// Server is the destination, nil if the flow is to be refused with
-	// Overload.
+	// Server is the destination, nil if the flow is to be refused for Reason.
 	Server *fleet.Server
+	Reason Reason
 	// Unresponsive is the server that did not answer; nil if the SYN was held.
 	Unresponsive *fleet.Server
 	// Priority is that of the route of a refused flow, and Waited how long its SYN
