Limit the new flows of cold servers in pkg/warmup and pkg/steer

Cause: a cold server costs 1.6 times as much as a warm one, but nothing bounds what all hosts send to it together.

Change: pkg/warmup decides which hosts feed a cold server (Share, Rank), how often (Limit) and from when on (Membership). pkg/steer offers a cold server a flow only on a turn, defers SYNs to the next turn of the host, and refuses those that cannot be served in time.

Result: go test ./pkg/warmup ./pkg/steer passes; the control loop does not publish the hosts yet.

--- a/pkg/steer/choose.go
+++ b/pkg/steer/choose.go
@@ -53,7 +53,7 @@
 )
 
 // chooseServer returns the server with the least cost for a new flow of a
-// service, or nil if there is none. If f is not nil, it chooses for the next
+// service, or nil if there is none, or only cold ones that get no flow now. If f is not nil, it chooses for the next
 // try of f among the servers that have not been tried.
 func (t *Table) chooseServer(now time.Duration, service string, f *flow) *fleet.Server {
 	var best *fleet.Server
@@ -63,7 +63,10 @@
 		if f != nil && f.wasTried(s.Mark) {
 			continue
 		}
-		cost := t.cost(now, s, f)
+		cost, ok := t.cost(now, s, f)
+		if !ok {
+			continue
+		}
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestCost, ties = s, cost, 1
@@ -97,18 +100,33 @@
 )
 
 // cost returns the cost of sending the next flow, or the next try of f, to a
-// server. The server with the least cost is chosen.
-func (t *Table) cost(now time.Duration, s *fleet.Server, f *flow) float64 {
+// server. The server with the least cost is chosen. ok is false if the server is
+// cold and gets no flow of this host now.
+func (t *Table) cost(now time.Duration, s *fleet.Server, f *flow) (cost float64, ok bool) {
 	health := t.health[s.Mark]
-	if health.isSuspect() && f == nil && now >= health.retryAt {
-		if health.reachability.answeredAt > health.lastUnansweredAt {
-			return probeCost
-		}
+	mayProbe := health.isSuspect() && f == nil && now >= health.retryAt
+	if mayProbe && health.reachability.answeredAt <= health.lastUnansweredAt {
 		t.requestSimpleProbe(now, s)
+		mayProbe = false
+	}
+	isCold := health.cold.isCold(now)
+	if isCold && !t.mayOffer(now, s, &health.cold) {
+		return 0, false
+	}
+	if mayProbe {
+		return probeCost, true
 	}
 	if health.isSuspect() || t.isUnreachable(now, s) {
-		return suspectCost + float64(health.lastUnansweredAt)/float64(time.Second)
+		return suspectCost + float64(health.lastUnansweredAt)/float64(time.Second), true
+	}
+	if isCold && f == nil && health.inFlight < s.Slots {
+		return coldTurnCost, true
 	}
+	return t.loadCost(now, s, f, health), true
+}
+
+// loadCost returns the cost of a server that answers, by its load.
+func (t *Table) loadCost(now time.Duration, s *fleet.Server, f *flow, health *Health) float64 {
 	cost := float64(health.inFlight+1) / float64(s.Slots) * health.slowness.costFactor(now)
 	if now < s.WarmupEnd {
 		cost *= warmupCostFactor
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -26,6 +26,9 @@
 	// time, and holdDeadline is when its hold ends.
 	overdue      bool
 	holdDeadline time.Duration
+	// deferred reports whether the held SYN waits for the turn of this host to feed
+	// a cold server.
+	deferred bool
 	// synsSeen counts the SYNs received, if the first and all retransmissions
 	// so far arrived at this host; otherwise it is -1. nextSYNAt is when the
 	// next retransmission is due.
@@ -131,9 +134,16 @@
 	return f.synsSeen > 0 && now < f.nextSYNAt-refusalMargin
 }
 
+// deferUnrefusable reports whether the end of a hold must wait until the next
+// retransmission has arrived or should have, since the flow may be refused then.
+func (f *flow) deferUnrefusable(now time.Duration) bool {
+	return f.synsSeen > 0 && !f.canRefuse(now) && now < f.nextSYNAt+refusalMargin
+}
+
 // deleteFlow deletes the state of a flow and keeps the record for reuse.
 func (t *Table) deleteFlow(f *flow) {
 	t.setInFlight(f, 0)
+	t.endDeferral(f)
 	delete(t.flows, f.key)
 	f.generation++
 	f.nextFree = t.freeFlows
--- a/pkg/steer/health.go
+++ b/pkg/steer/health.go
@@ -28,17 +28,19 @@
 	lastUnansweredAt, lastAnswerAt time.Duration
 	// retryAt is when the backoff of a suspect server ends.
 	retryAt      time.Duration
+	cold         coldState
 	slowness     slowness
 	reachability reachability
 }
 
 // newHealth returns the initial health of a server. If the server restarted,
-// old is its health before the restart, of which only the flows in flight are
-// kept; otherwise old is nil.
+// old is its health before the restart, of which only the flows in flight and the
+// limit on cold servers are kept; otherwise old is nil.
 func newHealth(s *fleet.Server, old *Health) *Health {
 	h := &Health{started: s.Started}
 	if old != nil {
 		h.inFlight = old.inFlight
+		h.cold = old.cold
 	}
 	return h
 }
@@ -47,6 +49,7 @@
 func (h *Health) recordAnswer(now time.Duration) {
 	h.lastAnswerAt = now
 	h.unansweredSYNs = 0
+	h.cold.recordAnswer(now)
 	h.reachability.recordReachable()
 }
 
@@ -57,6 +60,7 @@
 		return
 	}
 	h.unansweredSYNs++
+	h.cold.unanswered = true
 	h.lastUnansweredAt = now
 	h.retryAt = now + min(initialBackoff<<min(h.unansweredSYNs-1, 10), maxBackoff)
 }
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -89,12 +89,12 @@
 	return Resend{}, false
 }
 
-// release sends a held SYN to a server. If there is none, it deletes the flow.
+// release sends a held SYN to a server. If there is none, it deletes the flow, or
+// defers the SYN if there are cold servers.
 func (t *Table) release(now time.Duration, f *flow) (Resend, bool) {
 	s := t.chooseServer(now, f.service, nil)
 	if s == nil {
-		t.deleteFlow(f)
-		return Resend{}, false
+		return t.deferHeld(now, f)
 	}
 	t.recordSYNSent(now, f, s)
 	n := copy(t.resendBuffer[:], f.rawSYN[:f.rawSYNSize])
@@ -107,6 +107,9 @@
 // SYN. If a retransmission is due about now, that decision waits until it has
 // arrived or should have.
 func (t *Table) handleHoldTimeout(now time.Duration, f *flow) (Resend, bool) {
+	if f.deferred {
+		return Resend{}, false // Its other timer ends the hold.
+	}
 	if now < f.holdDeadline {
 		f.overdue = true
 		t.enqueue(t.limiter(f.service), f)
@@ -116,24 +119,34 @@
 	if t.limiter(f.service).limit == 0 {
 		return t.release(now, f)
 	}
-	if end := f.nextSYNAt + refusalMargin; f.synsSeen > 0 && !f.canRefuse(now) && now < end {
-		t.timers.push(timer{expiresAt: end, flow: f, generation: f.generation, kind: holdTimer})
+	if f.deferUnrefusable(now) {
+		t.timers.push(timer{expiresAt: f.nextSYNAt + refusalMargin, flow: f, generation: f.generation, kind: holdTimer})
 		return Resend{}, false
 	}
-	key, refuse := f.key, f.canRefuse(now)
+	return t.endHold(now, f)
+}
+
+// endHold refuses a flow whose hold ends, or drops its SYN if another host may have
+// received the SYN.
+func (t *Table) endHold(now time.Duration, f *flow) (Resend, bool) {
+	r, refuse := Resend{Key: f.key, OnlyCold: f.deferred}, f.canRefuse(now)
 	t.deleteFlow(f)
-	return Resend{Key: key}, refuse
+	return r, refuse
 }
 
 // handleHeldRetransmission handles a retransmission of a held SYN. If the hold
-// has ended, the service has a limit and no other host can have received the
+// has ended, the service has a limit or the SYN is deferred, and no other host can have received the
 // SYN, it refuses the flow. Otherwise the SYN stays held.
 func (t *Table) handleHeldRetransmission(now time.Duration, f *flow) Verdict {
-	if now < f.holdDeadline || t.limiter(f.service).limit == 0 || !f.canRefuse(now) {
+	if now < f.holdDeadline || !f.deferred && t.limiter(f.service).limit == 0 || !f.canRefuse(now) {
 		return Verdict{Action: Hold}
 	}
+	reason := Overload
+	if f.deferred {
+		reason = ColdServers
+	}
 	t.deleteFlow(f)
-	return Verdict{Action: Refuse, Reason: Overload}
+	return Verdict{Action: Refuse, Reason: reason}
 }
 
 // startAnswerTimer sets the timer after which a flow is no longer in flight, since
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -21,6 +21,7 @@
 		v.Adopted = f != nil
 	case f != nil && f.tries == 0:
 		// The SYN is held here, and the flow opened through another host.
+		t.endDeferral(f)
 		f.adopt(s)
 		v.Adopted = true
 	}
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -72,10 +72,13 @@
 	// Unreachable means that the server of an open flow does not receive
 	// packets.
 	Unreachable
+	// ColdServers means that the service has only cold servers, which take no
+	// further flow in time.
+	ColdServers
 	reasonCount
 )
 
-var reasonNames = [reasonCount]string{"none", "noView", "noRoute", "noServer", "overload", "unknownMark", "unreachable"}
+var reasonNames = [reasonCount]string{"none", "noView", "noRoute", "noServer", "overload", "unknownMark", "unreachable", "coldServers"}
 
 // String returns the name of the reason.
 func (r Reason) String() string { return reasonNames[r] }
@@ -87,6 +90,8 @@
 	// ResetFlow.
 	Server *fleet.Server
 	Reason Reason
+	// Service is the service of the flow if Reason is ColdServers.
+	Service string
 	// Unresponsive is the server that did not answer the SYN, if the packet is
 	// a retransmission that goes to another server.
 	Unresponsive *fleet.Server
@@ -113,8 +118,9 @@
 type Resend struct {
 	Key Key
 	// Server is the destination, nil if the flow is to be refused with
-	// Overload.
-	Server *fleet.Server
+	// ColdServers, if OnlyCold is set, or otherwise with Overload.
+	Server   *fleet.Server
+	OnlyCold bool
 	// Unresponsive is the server that did not answer; nil if the SYN was held.
 	Unresponsive *fleet.Server
 	// RawSYN holds the bytes of the SYN as received. They are valid until the
--- a/pkg/steer/report.go
+++ b/pkg/steer/report.go
@@ -36,7 +36,7 @@
 			h := t.health[s.Mark]
 			out = append(out, ServerReport{
 				Service: service, ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots,
-				InFlight: h.inFlight, UnansweredSYNs: h.unansweredSYNs, Slow: h.slowness.isSlow, Warming: now < s.WarmupEnd,
+				InFlight: h.inFlight, UnansweredSYNs: h.unansweredSYNs, Slow: h.slowness.isSlow, Warming: now < s.WarmupEnd || h.cold.isCold(now),
 			})
 		}
 	}
--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -8,6 +8,8 @@
 
 // recordSYNSent records that the SYN of a flow is sent to a server.
 func (t *Table) recordSYNSent(now time.Duration, f *flow, s *fleet.Server) {
+	t.endDeferral(f)
+	t.recordColdSYN(now, s, true)
 	f.triedMarks[f.tries] = s.Mark
 	f.tries++
 	f.sentAt = now
@@ -48,6 +50,8 @@
 		switch e.kind {
 		case holdTimer:
 			r, ok = t.handleHoldTimeout(now, f)
+		case coldTimer:
+			r, ok = t.handleColdTimeout(now, f)
 		case answerTimer:
 			if t.isOverdue(now, f) {
 				t.setInFlight(f, 0)
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/fleet"
+	"lagoonramp.org/lagoonramp/pkg/warmup"
 )
 
 // Settings configures a Table. All fields but Rand are optional.
@@ -24,6 +25,8 @@
 	// SplitIdleTimeout is the same for flows whose SYN more than one server may
 	// have received. The default is 60 s.
 	SplitIdleTimeout time.Duration
+	// Warmup bounds the new flows of cold servers.
+	Warmup warmup.Settings
 	// Rand breaks ties between servers.
 	Rand *rand.Rand
 }
@@ -63,6 +66,14 @@
 	limiters        map[string]*limiter
 	holdingLimiters []*limiter
 	timers          timerHeap
+	// coldServices holds the services with a limit on cold servers.
+	coldServices map[string]*coldService
+	// feeders is what the host knows about the hosts that feed cold servers. Its
+	// hosts change with feedersGeneration, which is not 0 once they are known.
+	feeders           Feeders
+	feedersGeneration uint64
+	// holdDownEnd is the time before which this host feeds no cold servers.
+	holdDownEnd time.Duration
 	// centres holds the reachability of each data centre.
 	centres map[string]*centreReachability
 	// newProbes holds the probes that TakeProbes returns next, and pendingResets
@@ -100,7 +111,7 @@
 	}
 	return &Table{
 		settings: settings, hostCount: 1, limiters: map[string]*limiter{}, flows: map[Key]*flow{}, health: map[uint32]*Health{}, estimators: map[string]*handshakeEstimator{},
-		answerTimes: map[netip.AddrPort]*typicalAnswerTime{}, centres: map[string]*centreReachability{},
+		answerTimes: map[netip.AddrPort]*typicalAnswerTime{}, centres: map[string]*centreReachability{}, coldServices: map[string]*coldService{},
 	}
 }
 
@@ -112,7 +123,15 @@
 		if h == nil || h.started != s.Started {
 			t.health[m] = newHealth(s, h)
 		}
+		if service := v.Services[s.Service]; service.WarmupRate > 0 || h != nil && h.cold.perSecond > 0 {
+			c := &t.health[m].cold
+			c.setEntry(now, s, service, s.DataCentre == t.settings.DataCentre)
+			if h != nil && h.started != s.Started {
+				c.assumeCold(now) // It restarted; its entry may not show that it is cold.
+			}
+		}
 	}
+	t.updateColdServices()
 	for m := range t.health {
 		if v.ServersByMark[m] == nil {
 			delete(t.health, m)
@@ -170,10 +189,7 @@
 	service := chooseService(route.Targets, p.Key)
 	s := t.chooseServer(now, service, nil)
 	if s == nil {
-		if t.view.Incomplete {
-			return Verdict{Reason: NoServer} // A retransmission may find one.
-		}
-		return Verdict{Action: Refuse, Reason: NoServer}
+		return t.handleNoServer(now, p, raw, route, service)
 	}
 	if len(t.flows) < t.settings.MaxFlows && len(raw) <= maxSYNSize {
 		f = t.newFlow(p, service, raw)
@@ -182,7 +198,9 @@
 			return Verdict{Action: Hold}
 		}
 		t.recordSYNSent(now, f, s)
+		return Verdict{Action: Forward, Server: s}
 	}
+	t.recordColdSYN(now, s, true)
 	return Verdict{Action: Forward, Server: s}
 }
 
@@ -213,5 +231,6 @@
 	if s == nil {
 		return Verdict{Action: Refuse, Reason: NoServer}
 	}
+	t.recordColdSYN(now, s, false)
 	return Verdict{Action: Forward, Server: s}
 }
--- a/pkg/steer/timer.go
+++ b/pkg/steer/timer.go
@@ -12,6 +12,8 @@
 	// holdTimer expires when a held SYN becomes overdue or must be released or
 	// refused.
 	holdTimer
+	// coldTimer expires when a deferred SYN may be sent to a cold server.
+	coldTimer
 	// answerTimer expires when the answer to a request should have begun.
 	answerTimer
 	// overdueTimer expires when a request has had no answer for a long time.
@@ -37,6 +39,8 @@
 	switch e.kind {
 	case holdTimer:
 		return f.tries > 0
+	case coldTimer:
+		return f.tries > 0 || !f.deferred
 	case answerTimer:
 		return !f.requestPending
 	case overdueTimer:
--- a/pkg/steer/unreachable.go
+++ b/pkg/steer/unreachable.go
@@ -270,6 +270,7 @@
 	case result == ProbeInconclusive:
 	case result == ProbeAnswered || h.lastAnswerAt > p.StartedAt:
 		r.recordReachable()
+		h.cold.recordAnswer(now)
 		r.answeredAt = now
 		r.nextProbeAt = now + answeredProbeInterval
 		r.nextSimpleProbeAt = r.nextProbeAt
--- /dev/null
+++ b/pkg/warmup/membership.go
@@ -0,0 +1,158 @@
+package warmup
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// HoldDown is how long a host's knowledge of the hosts of its data centre must
+	// be unchanged before the host feeds servers. Hosts that are in touch learn of a
+	// new host within two seconds. The third second separates flows that hosts send
+	// by the old ranking from those by the new one by the window of the bound.
+	HoldDown = 3 * time.Second
+	// freshAge is the time since a host was last seen up to which it counts as
+	// reachable. It is above the time within which a host that is alive is seen
+	// again in a system of 540 hosts, and at most half of the time for which lost
+	// hosts are remembered.
+	freshAge = 90 * time.Second
+	// expiredMemory is how long Membership remembers a host after the application
+	// has forgotten it.
+	expiredMemory = 10 * time.Minute
+)
+
+// Host is what a host knows about another host of its data centre.
+type Host struct {
+	ID uint64
+	// LastSeen is when any host last received a message of the host.
+	LastSeen time.Duration
+	// Heard reports whether this host has received a message directly from the
+	// host. It then knows this host, since hosts send messages only to hosts that
+	// they know.
+	Heard bool
+	// Left reports whether the host announced that it leaves. It then feeds no
+	// servers.
+	Left bool
+}
+
+// Membership decides from when on a host feeds cold servers, by its knowledge of
+// the hosts of its data centre. It answers views that differ:
+//
+//   - a host that has just started, or that was paused, may not know all hosts: it
+//     feeds servers once it has heard directly from each host that it knows, so that
+//     none of these ranks the hosts without it, and after a hold-down;
+//   - a host that joins becomes known to the others at different times: each holds
+//     down from when it learns of it;
+//   - a partition inside a data centre may last until both sides forget each other:
+//     only a side with a majority of the hosts feeds servers from then on.
+type Membership struct {
+	self uint64
+	// hosts holds the IDs of the known hosts, including self and lost hosts, in
+	// ascending order.
+	hosts []uint64
+	// changedAt is when hosts last changed, or when Restart was last called.
+	changedAt time.Duration
+	// established is set once the host has heard from each host that it knew.
+	established bool
+	hasMajority bool
+	// expired maps hosts that the application has forgotten to the time at which it
+	// did.
+	expired map[uint64]time.Duration
+	// left holds the known hosts that announced that they leave.
+	left map[uint64]bool
+	// scratch is the next value of hosts while it is built.
+	scratch []uint64
+}
+
+// NewMembership returns the Membership of a host that has just started.
+func NewMembership(self uint64) *Membership {
+	return &Membership{self: self, hosts: []uint64{self}, expired: map[uint64]time.Duration{}, left: map[uint64]bool{}}
+}
+
+// Restart begins a hold-down, because the host was paused or has got its first
+// snapshot.
+func (m *Membership) Restart(now time.Duration) { m.changedAt = now }
+
+// Update replaces the known hosts of the data centre, without this host. Hosts
+// whose data centre is unknown must be in unknown. complete reports whether the
+// host has a whole snapshot of the store and, unless no other host is known, the
+// list of hosts of another one.
+func (m *Membership) Update(now time.Duration, known, unknown []Host, complete bool) {
+	m.scratch = append(m.scratch[:0], m.self)
+	fresh, present, allHeard := 1, 1, complete
+	for _, h := range known {
+		m.scratch = append(m.scratch, h.ID)
+		allHeard = allHeard && h.Heard
+		if h.Left {
+			continue
+		}
+		present++
+		if now-h.LastSeen < freshAge {
+			fresh++
+		}
+	}
+	for _, h := range unknown {
+		allHeard = allHeard && h.Heard
+	}
+	slices.Sort(m.scratch)
+	if !slices.Equal(m.scratch, m.hosts) {
+		m.recordExpired(now, known)
+		m.hosts = slices.Clone(m.scratch) // The former slice may be in use.
+		m.changedAt = now
+	}
+	if allHeard && !m.established {
+		m.established = true
+		m.changedAt = now
+	}
+	m.recordLeft(known)
+	maps.DeleteFunc(m.expired, func(_ uint64, at time.Duration) bool { return now-at >= expiredMemory })
+	m.hasMajority = 2*fresh > present+len(m.expired)
+}
+
+// recordExpired remembers the hosts that are no longer known, and forgets those
+// that are known again.
+func (m *Membership) recordExpired(now time.Duration, known []Host) {
+	for _, id := range m.hosts {
+		if _, found := slices.BinarySearch(m.scratch, id); !found && !m.left[id] {
+			m.expired[id] = now
+		}
+	}
+	for _, h := range known {
+		delete(m.expired, h.ID)
+	}
+}
+
+// recordLeft replaces the hosts that announced that they leave.
+func (m *Membership) recordLeft(known []Host) {
+	clear(m.left)
+	for _, h := range known {
+		if h.Left {
+			m.left[h.ID] = true
+		}
+	}
+}
+
+// AddExpired records hosts that another host has forgotten.
+func (m *Membership) AddExpired(now time.Duration, ids []uint64) {
+	for _, id := range ids {
+		_, known := slices.BinarySearch(m.hosts, id)
+		_, recorded := m.expired[id]
+		if !known && !recorded {
+			m.expired[id] = now
+		}
+	}
+}
+
+// Expired returns the hosts that this host has forgotten lately.
+func (m *Membership) Expired() []uint64 { return slices.Sorted(maps.Keys(m.expired)) }
+
+// Hosts returns the known hosts, including this one, in ascending order. The
+// caller must not change the slice.
+func (m *Membership) Hosts() []uint64 { return m.hosts }
+
+// FeedFrom returns from when on the host feeds servers; ok is false if it does not
+// as far as is known. The time may be in the future.
+func (m *Membership) FeedFrom() (at time.Duration, ok bool) {
+	return m.changedAt + HoldDown, m.established && m.hasMajority
+}
