Publish the hosts that feed cold servers; metrics and log lines

Cause: pkg/steer needs the hosts of the data centre and the time since which they are unchanged.

Change: internal/marked keeps a warmup.Membership. Hosts of a data centre greet each other while the document limits cold servers, and digests name new hosts first. A host that starts learns of lost hosts from the retained state. The bounds come from the settings. New metrics lagoonramp_cold_*.

--- a/cmd/lagoonramp/serve.go
+++ b/cmd/lagoonramp/serve.go
@@ -14,6 +14,7 @@
 	"lagoonramp.org/lagoonramp/internal/logs"
 	"lagoonramp.org/lagoonramp/internal/marked"
 	"lagoonramp.org/lagoonramp/internal/setup"
+	"lagoonramp.org/lagoonramp/pkg/warmup"
 	"lagoonramp.org/lagoonramp/platform"
 )
 
@@ -85,6 +86,7 @@
 		PacketAddress: netip.MustParseAddrPort(m.Packets), ReadinessAddress: netip.MustParseAddrPort(m.Ready),
 		PeerAddress: netip.MustParseAddrPort(m.Peer), Seeds: m.SeedAddresses(),
 		FlowLifetime: m.FlowLifetimeOrDefault(), ShutdownTimeout: m.GraceOrDefault(),
+		Warmup:       warmup.Settings{Overage: m.WarmupOverage, Slack: m.WarmupSlack},
 		AdminAddress: m.Admin, DroppedLogLines: sink.Dropped,
 		Codec: platform.Codec{}, Store: platform.NewStore(m.Store), Decoder: platform.Decoder{},
 		ReadinessHandler: platform.ReadinessHandler,
--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -250,7 +250,7 @@
 	} {
 		metrics.WriteCounterUint64(w, m.name, m.value.Load())
 	}
-	for r := steer.NoView; r <= steer.UnknownMark; r++ {
+	for r := steer.NoView; r <= steer.ColdServers; r++ {
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_packets_dropped_total{reason=%q}`, r), c.Dropped[r].Load())
 	}
 	metrics.WriteGaugeUint64(w, `lagoonramp_flows`, c.Flows.Load())
@@ -280,6 +280,14 @@
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`lagoonramp_service_waiting{service=%q}`, l.Service), uint64(l.Waiting))
 		}
 	}
+	if reports := h.traffic.coldReports.Load(); reports != nil {
+		for _, r := range *reports {
+			metrics.WriteGaugeUint64(w, fmt.Sprintf(`lagoonramp_cold_servers{service=%q}`, r.Service), uint64(r.Servers))
+			metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_cold_flows_total{service=%q}`, r.Service), r.Flows)
+			metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_cold_deferred_total{service=%q}`, r.Service), r.Deferred)
+			metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_cold_refused_total{service=%q}`, r.Service), r.Refused)
+		}
+	}
 	h.traffic.metrics.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/marked/broadcast.go
+++ b/internal/marked/broadcast.go
@@ -124,6 +124,7 @@
 		p.idsByDataCentre[other.dataCentre] = append(p.idsByDataCentre[other.dataCentre], id)
 	}
 	slices.Sort(p.sortedIDs)
+	p.membership.changed = true
 	all := append(slices.Clone(p.sortedIDs), p.self)
 	p.gossip.SetHosts(all)
 	p.watchers.SetHosts(all)
--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -214,6 +214,7 @@
 	}
 	c.host.log.Info("control: view", zap.Uint64("version", view.DocumentVersion), zap.Uint64("revision", view.StoreRevision),
 		zap.Int("servers", len(servers)), zap.Int("routes", len(view.Routes)))
+	c.peers.membership.limitsCold = limitsColdServers(view)
 	c.publish(now, view)
 	c.startTraffic(view)
 	next := c.builder.NextChange()
@@ -255,7 +256,10 @@
 	if !c.replica.Loaded() {
 		confirmed = now - 2*maxRefusalViewAge // Too old to refuse flows: the preview lacks items.
 	}
-	c.host.published.Store(&publishedView{view: v, confirmedAt: confirmed, hostCount: 1 + c.peers.countLive(now)})
+	if c.peers.needsMembershipUpdate() {
+		c.peers.updateMembership(now, c)
+	}
+	c.host.published.Store(&publishedView{view: v, confirmedAt: confirmed, hostCount: 1 + c.peers.countLive(now), feeders: c.peers.feeders()})
 }
 
 // decodeItem decodes an item. It adds a server to servers, and makes a valid
--- a/internal/marked/digest.go
+++ b/internal/marked/digest.go
@@ -38,6 +38,9 @@
 	// out if they do not fit the datagram.
 	Since uint64        `json:"since,omitempty"`
 	Items []mirror.Item `json:"items,omitempty"`
+	// Greeting makes sure that two hosts know each other. A digest with a greeting
+	// has no other effect.
+	Greeting greeting `json:"greeting,omitempty"`
 	// Pins name the servers of flows whose packets may carry the mark of another
 	// server.
 	Pins []steer.Pin `json:"pins,omitempty"`
@@ -51,28 +54,28 @@
 	Age time.Duration `json:"age"`
 }
 
-// newDigest returns a digest of this host with at most maxKnown randomly chosen
-// other hosts.
+// newDigest returns a digest of this host that names at most maxKnown other hosts.
 func (p *peers) newDigest(now time.Duration, c *control, maxKnown int) *digest {
 	d := &digest{
 		From: p.host.settings.Name, DataCentre: p.host.settings.DataCentre, Address: p.host.settings.PeerAddress.String(), Instance: p.host.instance,
 		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.isBroadcaster(),
 		Report: p.host.readinessReport(now),
 	}
-	for range min(maxKnown, 1+len(p.byID)/peersPerKnownHost, len(p.byID)) {
-		other := p.randomPeer()
+	first := p.firstNamed()
+	for i := range min(maxKnown, 1+len(p.byID)/peersPerKnownHost, len(p.byID)) {
+		other := p.nextNamed(now, i, first)
 		d.KnownHosts = append(d.KnownHosts, knownHost{Address: other.address.String(), DataCentre: other.dataCentre, Age: now - other.lastSeen})
 	}
 	return d
 }
 
-// knownHosts returns all other hosts that any host has seen lately.
+// knownHosts returns all other hosts that are known, including lost ones: a host
+// that starts must rank the hosts of its data centre as the others do.
 func (p *peers) knownHosts(now time.Duration) []knownHost {
 	var out []knownHost
 	for _, id := range p.sortedIDs {
-		if other := p.byID[id]; now-other.lastSeen < initialRecordAge {
-			out = append(out, knownHost{Address: other.address.String(), DataCentre: other.dataCentre, Age: now - other.lastSeen})
-		}
+		other := p.byID[id]
+		out = append(out, knownHost{Address: other.address.String(), DataCentre: other.dataCentre, Age: now - other.lastSeen})
 	}
 	return out
 }
--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -18,6 +18,7 @@
 	"lagoonramp.org/lagoonramp/pkg/drain"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/pkg/warmup"
 )
 
 // Settings holds the parameters of a Host.
@@ -43,6 +44,9 @@
 	// request to stop to the end of the process.
 	ShutdownTimeout time.Duration
 
+	// Warmup bounds the new flows of cold servers.
+	Warmup warmup.Settings
+
 	// DroppedLogLines returns the number of log lines that were dropped.
 	DroppedLogLines func() uint64
 
--- a/internal/marked/log.go
+++ b/internal/marked/log.go
@@ -137,6 +137,18 @@
 	}
 }
 
+// noWarmServer logs that a SYN is deferred, refused or dropped because its service
+// has only cold servers, and names one of these.
+func (l *decisionLog) noWarmServer(now time.Duration, p *steer.Packet, v *steer.Verdict, table *steer.Table, published *publishedView) {
+	e := l.unusual.Check(zap.WarnLevel, "traffic: only cold servers, SYN deferred or refused")
+	if e == nil {
+		return
+	}
+	s, rate, feeders := table.ColdServer(now, v.Service)
+	e.Write(append(flowFields(now, p.Key, published), zap.String("service", v.Service), serverField("server", s),
+		zap.Float64("rate", rate), zap.Int("feeders", feeders), zap.Bool("deferred", v.Action == steer.Hold))...)
+}
+
 // limitChanged logs the start or the end of a limit on the flows of a service.
 func (l *decisionLog) limitChanged(c steer.LimitChange) {
 	text := "traffic: servers answer late, new flows are limited"
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -89,6 +89,11 @@
 	instance uint64
 	// unready is set if the latest digest reported that the host is not ready.
 	unready bool
+	// heard is set once this process has received a digest directly from the host.
+	heard bool
+	// nextGreeting is the earliest time of the next greeting, and greetingInterval
+	// the interval before it.
+	nextGreeting, greetingInterval time.Duration
 }
 
 // peers holds the other hosts and exchanges digests with them. It belongs to
@@ -127,6 +132,7 @@
 	nextAnnounce time.Duration
 	// recordWrittenAt is when this process last wrote it, 0 for never.
 	recordWrittenAt time.Duration
+	membership      membership
 }
 
 // peerID returns the ID of the host with a peer address.
@@ -135,7 +141,7 @@
 func newPeers(h *Host, conn *net.UDPConn) *peers {
 	self := peerID(h.settings.PeerAddress)
 	p := &peers{
-		host: h, conn: conn, self: self, byID: map[uint64]*peer{}, idsByDataCentre: map[string][]uint64{}, pinReceivers: map[uint64]pinSet{}, pendingBroadcasts: map[string]*broadcast{},
+		host: h, conn: conn, self: self, byID: map[uint64]*peer{}, idsByDataCentre: map[string][]uint64{}, pinReceivers: map[uint64]pinSet{}, pendingBroadcasts: map[string]*broadcast{}, membership: newMembership(self),
 		nextAnnounce: firstAnnounceDelay + rand.N(firstAnnounceSpread),
 		gossip:       gossip.New(self, gossip.Settings{FetchTimeout: fetchTimeout}, rand.New(rand.NewPCG(rand.Uint64(), self))),
 		watchers:     gossip.NewWatcherSelector(self, gossip.WatcherSelectorSettings{}),
@@ -159,6 +165,7 @@
 	existing := p.byID[id]
 	if existing == nil {
 		p.byID[id] = &peer{id: id, address: a, dataCentre: dataCentre, lastSeen: seenAt}
+		p.addRecent(now, id)
 		return true
 	}
 	existing.lastSeen = max(existing.lastSeen, min(seenAt, now))
@@ -184,6 +191,12 @@
 	}
 	p.addKnownHosts(now, d.KnownHosts)
 	from := p.byID[peerID(a)]
+	from.heard = true
+	if d.Greeting != noGreeting {
+		p.refreshFeeders(now, c)
+		p.handleGreeting(now, from, d, c)
+		return
+	}
 	if len(d.Pins) > 0 {
 		p.host.receivePins(d.From, d.Pins)
 	}
@@ -260,6 +273,10 @@
 	p.fetch(p.gossip.Tick(now))
 	p.queryRetainedState(now, c)
 	p.sendPins(now, c)
+	p.greet(now, c)
+	if p.updateMembership(now, c) {
+		c.refreshPublished(now)
+	}
 	if p.repeatNotice {
 		p.repeatNotice = false
 		p.notifyReadiness(now, c)
--- a/internal/marked/record.go
+++ b/internal/marked/record.go
@@ -48,6 +48,9 @@
 		}
 		if a, err := netip.ParseAddrPort(r.Address); err == nil {
 			changed = p.observeHost(now, a, r.DataCentre, now-initialRecordAge) || changed
+			if r.DataCentre == p.host.settings.DataCentre {
+				p.membership.recorded[peerID(a)] = true
+			}
 		}
 	}
 	if changed {
@@ -73,6 +76,7 @@
 			recorded[peerID(a)] = true
 		}
 	})
+	clear(p.membership.recorded) // addRecords adds those that are still there.
 	p.addRecords(now, items)
 	if p.recordWrittenAt > 0 && now-p.recordWrittenAt > announceTTL-2*announceInterval {
 		delete(recorded, p.self) // It is about to expire.
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -28,9 +28,12 @@
 	// UpFor is the time since the replying host started.
 	UpFor         time.Duration       `json:"upFor"`
 	RetainedState fleet.RetainedState `json:"remnants"`
-	// KnownHosts are the hosts that were seen lately, since the store has the
+	// KnownHosts are the hosts that are known, including lost ones, since the store has the
 	// records of a few hosts only.
 	KnownHosts []knownHost `json:"known,omitempty"`
+	// ForgottenHosts are the IDs of hosts of the asking host's data centre that the
+	// replying host has forgotten.
+	ForgottenHosts []uint64 `json:"forgotten,omitempty"`
 }
 
 // retainedQueries is the progress of the queries by which a host obtains, after
@@ -102,6 +105,7 @@
 	}
 	now := c.host.now()
 	c.peers.addKnownHosts(now, reply.KnownHosts)
+	c.peers.membership.AddExpired(now, reply.ForgottenHosts[:min(len(reply.ForgottenHosts), maxForgottenHosts)])
 	c.host.log.Info("peers: retained state fetched", zap.Stringer("peer", from), zap.Duration("upFor", reply.UpFor),
 		zap.Int("hosts", len(reply.KnownHosts)),
 		zap.Int("departedServers", len(reply.RetainedState.Servers)), zap.Int("formerTargets", len(reply.RetainedState.Targets)))
@@ -127,6 +131,9 @@
 		now := h.now()
 		c.peers.serveStart(now, from, q.Get("dataCentre"))
 		reply = retainedStateReply{UpFor: now, RetainedState: c.builder.RetainedState(now), KnownHosts: c.peers.knownHosts(now)}
+		if q.Get("dataCentre") == h.settings.DataCentre {
+			reply.ForgottenHosts = c.peers.membership.Expired()
+		}
 	})
 	h.writeCompressed(w, &reply)
 }
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -17,6 +17,7 @@
 	"lagoonramp.org/lagoonramp/internal/batch"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/steer"
+	"lagoonramp.org/lagoonramp/pkg/warmup"
 )
 
 // Codec parses and modifies the packets of flows.
@@ -60,6 +61,8 @@
 	// maxRefusalViewAge is the maximum age of the view for refusing a flow, except
 	// because of overload.
 	maxRefusalViewAge = 3 * time.Second
+	// leavingHoldDown is longer than a host takes to leave.
+	leavingHoldDown = time.Hour
 )
 
 // Counters holds the counts of the packets and flows that the traffic loop has
@@ -104,7 +107,9 @@
 	// pause until the socket has been read empty.
 	pauseCount uint64
 	inBacklog  bool
-	counters   Counters
+	// feedingPauses is the number of pauses after which a hold-down has begun.
+	feedingPauses uint64
+	counters      Counters
 	// lastClock is the latest reading of the clock. It is cached since each
 	// reading is a system call.
 	lastClock   time.Duration
@@ -128,10 +133,11 @@
 	// nextPinAnnounce is the earliest time at which all pins may be handed over
 	// again.
 	nextPinAnnounce time.Duration
-	// serverReports and serviceReports are the latest reports of the table. They
+	// serverReports, serviceReports and coldReports are the latest reports of the table. They
 	// are updated with the first batch after nextReport.
 	serverReports  atomic.Pointer[[]steer.ServerReport]
 	serviceReports atomic.Pointer[[]steer.ServiceReport]
+	coldReports    atomic.Pointer[[]steer.ColdReport]
 	nextReport     time.Duration
 	// metrics holds the histograms of handshake and answer times.
 	metrics             *metrics.Set
@@ -149,6 +155,8 @@
 	confirmedAt time.Duration
 	// hostCount is the number of hosts that share the servers.
 	hostCount int
+	// feeders are the hosts that feed cold servers.
+	feeders steer.Feeders
 }
 
 func newTraffic(settings *Settings, clock *clock, published *atomic.Pointer[publishedView], log *decisionLog) (*traffic, error) {
@@ -169,6 +177,7 @@
 	}
 	t.table = steer.NewTable(steer.Settings{
 		DataCentre: settings.DataCentre,
+		Warmup:     settings.Warmup,
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	return t, nil
@@ -263,6 +272,7 @@
 // reports.
 func (t *traffic) handleBatch(n int) {
 	now := t.readClock()
+	t.detectPause(now)
 	t.updateTable(now)
 	t.resetBuf = t.resetBuf[:0]
 	t.detectStale(now, n)
@@ -288,6 +298,8 @@
 		t.serverReports.Store(&r)
 		services := t.table.ServiceReports()
 		t.serviceReports.Store(&services)
+		cold := t.table.ColdReports(now)
+		t.coldReports.Store(&cold)
 	}
 }
 
@@ -297,6 +309,7 @@
 	t.exchangePins(now)
 	if t.leaving.Load() {
 		t.table.ExpectRerouting(math.MaxInt64)
+		t.table.HoldDown(now + leavingHoldDown)
 	}
 	t.table.ExpectRerouting(time.Duration(t.reroutingEnd.Load()))
 	t.updateView(now)
@@ -316,9 +329,19 @@
 		t.table.SetView(now, p.view)
 	}
 	t.table.SetHostCount(p.hostCount)
+	t.table.SetFeeders(p.feeders)
 	t.current = p
 }
 
+// detectPause makes the host feed no cold servers for a time after a pause, since
+// what it knows of other hosts may be old.
+func (t *traffic) detectPause(now time.Duration) {
+	if n := t.clock.heartbeat(now); n != t.feedingPauses {
+		t.feedingPauses = n
+		t.table.HoldDown(now + warmup.HoldDown)
+	}
+}
+
 // detectStale decides whether a batch of n packets may have arrived while the
 // process was paused. This holds from a pause up to the first batch that is not
 // full, since that batch empties the socket.
@@ -349,6 +372,9 @@
 		return
 	}
 	v := t.table.HandlePacket(now, &p, raw)
+	if v.Reason == steer.ColdServers {
+		t.log.noWarmServer(now, &p, &v, t.table, t.current)
+	}
 	switch v.Action {
 	case steer.Forward:
 		t.recordForward(now, &p, &v, raw)
@@ -437,6 +463,7 @@
 		t.handleBatch(n)
 	}
 	now := t.readClock()
+	t.detectPause(now)
 	t.updateTable(now)
 	t.sendDueSYNs(now)
 	t.resetUnreachable(now)
@@ -452,7 +479,11 @@
 			break
 		}
 		if r.Server == nil {
-			t.refuseFlow(now, &steer.Packet{Key: r.Key}, steer.Overload)
+			reason := steer.Overload
+			if r.OnlyCold {
+				reason = steer.ColdServers
+			}
+			t.refuseFlow(now, &steer.Packet{Key: r.Key}, reason)
 			t.writer.Flush()
 			continue
 		}
