Model, documents and faults of the limit on cold servers

Cause: the bound must hold while hosts join, restart and are cut off.

Lost hosts count against the majority after the time after which isLive does, so that a small cut-off side stops earlier.

--- a/internal/marked/feeders.go
+++ b/internal/marked/feeders.go
@@ -102,11 +102,17 @@
 		}
 	}
 	complete := c.replica.Loaded() && (p.retained.replies > 0 || len(p.byID) == 0)
-	m.Update(now, m.known, m.blocking, complete)
+	m.Update(now, m.known, m.blocking, p.freshAge(), complete)
 	after := p.feeders()
 	return before.From != after.From || before.Active != after.Active || !slices.Equal(before.Hosts, after.Hosts)
 }
 
+// freshAge returns the time since a host was last seen up to which it counts as
+// reachable, as for isLive.
+func (p *peers) freshAge() time.Duration {
+	return liveWindow + time.Duration(len(p.byID))*liveWindowPerHost
+}
+
 // asFeeder returns what this host knows about a peer as a feeder of cold servers.
 func (other *peer) asFeeder() warmup.Host {
 	return warmup.Host{ID: other.id, LastSeen: other.lastSeen, Heard: other.heard, Left: other.unready}
--- a/pkg/warmup/membership.go
+++ b/pkg/warmup/membership.go
@@ -12,11 +12,6 @@
 	// new host within two seconds. The third second separates flows that hosts send
 	// by the old ranking from those by the new one by the window of the bound.
 	HoldDown = 3 * time.Second
-	// freshAge is the time since a host was last seen up to which it counts as
-	// reachable. It is above the time within which a host that is alive is seen
-	// again in a system of 540 hosts, and at most half of the time for which lost
-	// hosts are remembered.
-	freshAge = 90 * time.Second
 	// expiredMemory is how long Membership remembers a host after the application
 	// has forgotten it.
 	expiredMemory = 10 * time.Minute
@@ -74,11 +69,12 @@
 // snapshot.
 func (m *Membership) Restart(now time.Duration) { m.changedAt = now }
 
-// Update replaces the known hosts of the data centre, without this host. Hosts
-// whose data centre is unknown must be in unknown. complete reports whether the
-// host has a whole snapshot of the store and, unless no other host is known, the
-// list of hosts of another one.
-func (m *Membership) Update(now time.Duration, known, unknown []Host, complete bool) {
+// Update replaces the known hosts of the data centre, without this host. A host
+// counts as reachable if it was last seen less than freshAge ago. others are hosts
+// that may belong to the data centre but are not ranked; this host has to hear from
+// them too. complete reports whether the host has a whole snapshot of the store and,
+// unless no other host is known, the list of hosts of another one.
+func (m *Membership) Update(now time.Duration, known, others []Host, freshAge time.Duration, complete bool) {
 	m.scratch = append(m.scratch[:0], m.self)
 	fresh, present, allHeard := 1, 1, complete
 	for _, h := range known {
@@ -92,7 +88,7 @@
 			fresh++
 		}
 	}
-	for _, h := range unknown {
+	for _, h := range others {
 		allHeard = allHeard && h.Heard
 	}
 	slices.Sort(m.scratch)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -57,4 +57,8 @@
 expect good reset
 expect bad reset NOREFERENCE
 expect bad reset ONCE
+expect good warmup
+expect bad warmup NOHOLDDOWN
+expect bad warmup LIVEONLY
+expect bad warmup NOHEARING
 exit "$failed"
