--- a/internal/marked/testbed_test.go
+++ b/internal/marked/testbed_test.go
@@ -18,6 +18,7 @@
 
 	"lagoonramp.org/lagoonramp/internal/marked"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/pkg/warmup"
 	"lagoonramp.org/lagoonramp/platform"
 	"lagoonramp.org/lagoonramp/platform/stub"
 )
@@ -162,6 +163,7 @@
 		PacketAddress: at.Packets, ReadinessAddress: at.Ready, PeerAddress: at.Peer, AdminAddress: at.Admin.String(), Seeds: []netip.AddrPort{w.HostAddresses(1).Peer},
 		FlowLifetime: time.Minute, ShutdownTimeout: testShutdownTimeout, DroppedLogLines: func() uint64 { return 0 },
 		Codec: platform.Codec{}, Store: h.store, Decoder: platform.Decoder{}, ReadinessHandler: platform.ReadinessHandler,
+		Warmup: warmup.Settings{Overage: 1.5, Slack: 5},
 	}
 	var err error
 	if h.Host, err = marked.New(settings, zap.NewNop()); err != nil {
