Test that a hold-down survives new knowledge of the hosts

Cause: the control loop may publish before it has noticed a pause.

Change: a test of steer.Table.HoldDown.

Result: go test ./pkg/steer passes; staticcheck of pkg, internal/marked and cmd is clean.

--- a/pkg/steer/coldserver_test.go
+++ b/pkg/steer/coldserver_test.go
@@ -236,3 +236,14 @@
 		only.HandlePacket(now, &refused, rawSYN)
 	}), 0.0)
 }
+
+// TestHoldDownSurvivesNewKnowledge guards against a host that feeds servers right
+// after a pause, because the control loop has not noticed the pause yet.
+func TestHoldDownSurvivesNewKnowledge(t *testing.T) {
+	is := is.New(t)
+	table := coldTable(coldView(4, 1, time.Hour, "a", "a"), 1, 1)
+	table.HoldDown(3 * time.Second)
+	table.SetFeeders(Feeders{Self: 1, Hosts: []uint64{1}, Active: true})
+	is.Equal(table.newSYN(3*time.Second-1, 1).Server.Mark, uint32(2))
+	is.Equal(table.newSYN(3*time.Second, 2).Server.Mark, uint32(1))
+}
