--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -18,6 +18,7 @@
 	"lagoonramp.org/lagoonramp/pkg/drain"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/mirror"
+	"lagoonramp.org/lagoonramp/pkg/warmup"
 )
 
 // Settings holds the parameters of a Host.
@@ -46,6 +47,9 @@
 	// forwards packets, 0 for no limit.
 	LinkRate float64
 
+	// Warmup bounds the new flows of cold servers.
+	Warmup warmup.Settings
+
 	// DroppedLogLines returns the number of log lines that were dropped.
 	DroppedLogLines func() uint64
 
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -95,10 +95,10 @@
 	}
 }
 
-// mustWait reports whether the service of a held SYN has a limit, or the link that
-// holds it is full.
+// mustWait reports whether the service of a held SYN has a limit or only cold
+// servers, or the link that holds it is full.
 func (t *Table) mustWait(f *flow) bool {
-	return t.limiter(f.service).limit > 0 || f.heldByLink && t.link.isFull()
+	return f.deferred || t.limiter(f.service).limit > 0 || f.heldByLink && t.link.isFull()
 }
 
 // nextReleased returns a held SYN that its limiter admits now, or else the refusal
@@ -126,12 +126,12 @@
 }
 
 // release sends a held SYN to a server. If there is none, it deletes the flow, and
-// refuses it if no other host may have received the SYN.
+// refuses it if no other host may have received the SYN, or defers the SYN if there
+// are cold servers.
 func (t *Table) release(now time.Duration, f *flow) (Resend, bool) {
 	s := t.chooseServer(now, f.service, nil)
 	if s == nil {
-		refuse := f.canRefuse(now) && !t.view.Incomplete
-		return t.refuseHeld(now, f, NoServer), refuse
+		return t.deferHeld(now, f)
 	}
 	t.recordSYNSent(now, f, s)
 	n := copy(t.resendBuffer[:], f.rawSYN[:f.rawSYNSize])
@@ -144,6 +144,9 @@
 // SYN. If a retransmission is due about now, that decision waits until it has
 // arrived or should have.
 func (t *Table) handleHoldTimeout(now time.Duration, f *flow) (Resend, bool) {
+	if f.deferred {
+		return Resend{}, false // Its other timer ends the hold.
+	}
 	if now < f.holdDeadline {
 		f.overdue = true
 		t.enqueue(now, f)
@@ -153,12 +156,26 @@
 	if !t.mustWait(f) {
 		return t.release(now, f)
 	}
-	if end := f.nextSYNAt + refusalMargin; f.synsSeen > 0 && !f.canRefuse(now) && now < end {
-		t.timers.push(timer{expiresAt: end, flow: f, generation: f.generation, kind: holdTimer})
+	if f.deferUnrefusable(now) {
+		t.timers.push(timer{expiresAt: f.nextSYNAt + refusalMargin, flow: f, generation: f.generation, kind: holdTimer})
 		return Resend{}, false
 	}
+	return t.endHold(now, f)
+}
+
+// endHold refuses a flow whose hold ends, or drops its SYN if another host may have
+// received the SYN.
+func (t *Table) endHold(now time.Duration, f *flow) (Resend, bool) {
 	refuse := f.canRefuse(now)
-	return t.refuseHeld(now, f, Overload), refuse
+	return t.refuseHeld(now, f, f.holdReason()), refuse
+}
+
+// holdReason returns the reason for a refusal at the end of a hold.
+func (f *flow) holdReason() Reason {
+	if f.deferred {
+		return ColdServers
+	}
+	return Overload
 }
 
 // refuseHeld deletes a flow whose SYN is held and returns its refusal.
@@ -175,8 +192,8 @@
 	if now < f.holdDeadline || !t.mustWait(f) || !f.canRefuse(now) {
 		return Verdict{Action: Hold, Priority: f.held.Priority}
 	}
-	r := t.refuseHeld(now, f, Overload)
-	return Verdict{Action: Refuse, Reason: Overload, Priority: r.Priority, Waited: r.Waited, LinkFull: r.LinkFull}
+	r := t.refuseHeld(now, f, f.holdReason())
+	return Verdict{Action: Refuse, Reason: r.Reason, Priority: r.Priority, Waited: r.Waited, LinkFull: r.LinkFull}
 }
 
 // startAnswerTimer sets the timer after which a flow is no longer in flight, since
--- a/pkg/steer/observe.go
+++ b/pkg/steer/observe.go
@@ -22,6 +22,7 @@
 	case f != nil && f.tries == 0:
 		// The SYN is held here, and the flow opened through another host.
 		t.unhold(f)
+		t.endDeferral(f)
 		f.adopt(s)
 		v.Adopted = true
 	}
