--- a/pkg/gossip/machine.go
+++ b/pkg/gossip/machine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 )
 
@@ -33,25 +34,26 @@
 	watchKey = 0x77617463686572
 )
 
-// Fetch asks the application to fetch a revision from a peer.
+// Fetch asks the application to fetch a version from a peer.
 type Fetch struct {
-	Peer     uint64
-	Revision uint64
+	Peer uint64
+	mirror.Version
 	// Serial identifies the fetch when it is reported as failed.
 	Serial uint64
 }
 
-// Machine decides for one host when to fetch a revision, from which peer, and
-// which peers to notify of it. It is not safe for concurrent use.
+// Machine decides for one host when to fetch a version, from which peer, and
+// which peers to notify of it. An application whose revisions never go back uses
+// revisions alone. It is not safe for concurrent use.
 type Machine struct {
 	settings Settings
 	self     uint64
 	rng      *rand.Rand
 	// hosts holds the live hosts of the group, including self.
-	hosts    []uint64
-	revision uint64
-	// peerRevisions holds the highest revision reported by each peer.
-	peerRevisions map[uint64]uint64
+	hosts   []uint64
+	version mirror.Version
+	// peerVersions holds the highest version reported by each peer.
+	peerVersions map[uint64]mirror.Version
 	// lastFailure holds when the last fetch from each peer failed.
 	lastFailure map[uint64]time.Duration
 	// inFlight is the current fetch, or nil; fetchStart is when it was started.
@@ -78,7 +80,7 @@
 	if settings.RetryDelay == 0 {
 		settings.RetryDelay = defaultRetryDelay
 	}
-	return &Machine{settings: settings, self: self, rng: rng, peerRevisions: map[uint64]uint64{}, lastFailure: map[uint64]time.Duration{}}
+	return &Machine{settings: settings, self: self, rng: rng, peerVersions: map[uint64]mirror.Version{}, lastFailure: map[uint64]time.Duration{}}
 }
 
 // SetHosts sets the live hosts of the group, including self.
@@ -88,9 +90,9 @@
 	for _, h := range hosts {
 		present[h] = true
 	}
-	for h := range m.peerRevisions {
+	for h := range m.peerVersions {
 		if !present[h] {
-			delete(m.peerRevisions, h)
+			delete(m.peerVersions, h)
 			delete(m.lastFailure, h)
 		}
 	}
@@ -108,26 +110,36 @@
 	return false
 }
 
-// ObserveRevision records the revision that a peer reported. It returns the
-// fetch to start, or nil.
+// ObserveRevision is ObserveVersion for a revision without an era.
 func (m *Machine) ObserveRevision(now time.Duration, peer, revision uint64) *Fetch {
-	if revision > m.peerRevisions[peer] {
-		m.peerRevisions[peer] = revision
+	return m.ObserveVersion(now, peer, mirror.Version{Revision: revision})
+}
+
+// ObserveVersion records the version that a peer reported. It returns the fetch to
+// start, or nil.
+func (m *Machine) ObserveVersion(now time.Duration, peer uint64, version mirror.Version) *Fetch {
+	if version.Compare(m.peerVersions[peer]) > 0 {
+		m.peerVersions[peer] = version
 	}
 	return m.startFetch(now)
 }
 
-// SetRevision records that this host has adopted a revision. It returns the
-// peers to notify: a random choice of those not known to have the revision.
+// SetRevision is SetVersion for a revision without an era.
 func (m *Machine) SetRevision(revision uint64) []uint64 {
-	if revision <= m.revision {
+	return m.SetVersion(mirror.Version{Revision: revision})
+}
+
+// SetVersion records that this host has adopted a version. It returns the peers to
+// notify: a random choice of those not known to have the version.
+func (m *Machine) SetVersion(version mirror.Version) []uint64 {
+	if version.Compare(m.version) <= 0 {
 		return nil
 	}
-	m.revision = revision
+	m.version = version
 	m.inFlight = nil
 	var behind []uint64
 	for _, h := range m.hosts {
-		if h != m.self && m.peerRevisions[h] < revision {
+		if h != m.self && m.peerVersions[h].Compare(version) < 0 {
 			behind = append(behind, h)
 		}
 	}
@@ -156,7 +168,7 @@
 	return m.startFetch(now)
 }
 
-// startFetch returns a fetch from a peer that has a higher revision, or nil. It
+// startFetch returns a fetch from a peer that has a higher version, or nil. It
 // selects the peer with the oldest failure, and a random one among ties.
 func (m *Machine) startFetch(now time.Duration) *Fetch {
 	if m.inFlight != nil || now < m.retryAt {
@@ -165,7 +177,7 @@
 	var best uint64
 	ties := 0
 	for _, h := range m.hosts {
-		if h == m.self || m.peerRevisions[h] <= m.revision {
+		if h == m.self || m.peerVersions[h].Compare(m.version) <= 0 {
 			continue
 		}
 		switch {
@@ -184,7 +196,7 @@
 	}
 	m.lastSerial++
 	m.fetchStart = now
-	m.inFlight = &Fetch{Peer: best, Revision: m.peerRevisions[best], Serial: m.lastSerial}
+	m.inFlight = &Fetch{Peer: best, Version: m.peerVersions[best], Serial: m.lastSerial}
 	f := *m.inFlight
 	return &f
 }
--- a/pkg/gossip/machine_test.go
+++ b/pkg/gossip/machine_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"lagoonramp.org/lagoonramp/pkg/mirror"
 	"lagoonramp.org/lagoonramp/pkg/rendez"
 )
 
@@ -53,6 +54,21 @@
 	is.True(m.Tick(20*time.Second) == nil)
 }
 
+// TestHigherEraIsFetched guards against a host that stays at a state which the store
+// lost, since the revision after a restore is lower.
+func TestHigherEraIsFetched(t *testing.T) {
+	is := is.New(t)
+	hosts := hostIDs(3)
+	m := New(hosts[0], Settings{}, rand.New(rand.NewPCG(1, 1)))
+	m.SetHosts(hosts)
+	m.SetVersion(mirror.Version{Revision: 9})
+	restored := mirror.Version{Era: 1, Revision: 4}
+	f := m.ObserveVersion(time.Second, hosts[1], restored)
+	is.Equal(f.Version, restored)
+	is.Equal(len(m.SetVersion(restored)), 1) // The peer that reported it need not be notified.
+	is.True(m.ObserveRevision(time.Second, hosts[2], 99) == nil)
+}
+
 // TestRevisionReachesAllHostsWithinGoal simulates the dissemination of a
 // revision from two watchers to 90 hosts with 5% message loss, in virtual time
 // and in steps of 10 ms. Every host has to adopt the revision within 4 s.
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -59,7 +59,7 @@
 			for now := time.Duration(0); now < 200*time.Second; now += time.Second {
 				store.write(rng)
 				m := replicas[rng.IntN(len(replicas))]
-				before := m.Revision()
+				before := m.Version().Revision
 				d := randomDelta(rng, store, m, replicas, now, &delayed)
 				if !d.Snapshot && (!m.Loaded() || d.after > before) {
 					continue // Replicas only receive changes that continue their revision.
@@ -68,8 +68,8 @@
 				if _, err := m.ApplyDelta(now, &d.Delta); err != nil {
 					is.Equal(err, ErrStaleSnapshot)
 				}
-				is.True(m.Revision() >= before) // The revision must not decrease.
-				is.Equal(content(m), store.stateAt(m.Revision()))
+				is.True(m.Version().Revision >= before) // The revision must not decrease.
+				is.Equal(content(m), store.stateAt(m.Version().Revision))
 			}
 		})
 	}
@@ -86,7 +86,7 @@
 func randomDelta(rng *rand.Rand, store *storeHistory, m *Replica, replicas []*Replica, now time.Duration, delayed *[]Delta) sourcedDelta {
 	switch rng.IntN(5) {
 	case 0:
-		d := Delta{Snapshot: true, Revision: store.revision()}
+		d := Delta{Snapshot: true, Version: Version{Revision: store.revision()}}
 		for _, i := range store.stateAt(store.revision()) {
 			d.Items = append(d.Items, i)
 		}
@@ -101,11 +101,11 @@
 	case 2, 3:
 		peer := replicas[rng.IntN(len(replicas))]
 		if peer.Loaded() {
-			return sourcedDelta{Delta: peer.DeltaSince(now, m.Revision()), after: m.Revision()}
+			return sourcedDelta{Delta: peer.DeltaSince(now, m.Version()), after: m.Version().Revision}
 		}
 	}
-	after := m.Revision()
-	return sourcedDelta{Delta: Delta{Revision: store.revision(), Items: store.changes[after:]}, after: after}
+	after := m.Version().Revision
+	return sourcedDelta{Delta: Delta{Version: Version{Revision: store.revision()}, Items: store.changes[after:]}, after: after}
 }
 
 // TestSnapshotsDoNotCascade guards against a replica that sends snapshots only
@@ -123,25 +123,26 @@
 	for _, i := range store.stateAt(50) {
 		items = append(items, i)
 	}
-	_, err := first.ApplySnapshot(0, items, 50)
+	_, err := first.ApplySnapshot(0, items, Version{Revision: 50})
 	is.NoErr(err)
 	behind, next := New(Settings{}), New(Settings{})
 	for _, m := range []*Replica{behind, next} {
-		_, err := m.ApplyDelta(0, &Delta{Snapshot: true, Revision: 50, Items: items})
+		_, err := m.ApplyDelta(0, &Delta{Snapshot: true, Version: Version{Revision: 50}, Items: items})
 		is.NoErr(err)
 	}
 	for range 30 {
 		store.write(rng)
-		first.ApplyChanges(0, store.changes[len(store.changes)-1:], store.revision())
+		_, err := first.ApplyChanges(0, store.changes[len(store.changes)-1:], Version{Revision: store.revision()})
+		is.NoErr(err)
 	}
-	d := first.DeltaSince(0, 10)
+	d := first.DeltaSince(0, Version{Revision: 10})
 	is.True(d.Snapshot)
 	fresh := New(Settings{})
 	_, err = fresh.ApplyDelta(0, &d)
 	is.NoErr(err)
-	is.True(!fresh.DeltaSince(0, 60).Snapshot)
+	is.True(!fresh.DeltaSince(0, Version{Revision: 60}).Snapshot)
 	for _, m := range []*Replica{behind, next} {
-		d := fresh.DeltaSince(0, m.Revision())
+		d := fresh.DeltaSince(0, m.Version())
 		is.True(!d.Snapshot)
 		_, err := m.ApplyDelta(0, &d)
 		is.NoErr(err)
@@ -152,27 +153,27 @@
 func TestAgeCountsFromLatestConfirmation(t *testing.T) {
 	is := is.New(t)
 	m := New(Settings{})
-	_, err := m.ApplyDelta(0, &Delta{Snapshot: true, Revision: 5})
+	_, err := m.ApplyDelta(0, &Delta{Snapshot: true, Version: Version{Revision: 5}})
 	is.NoErr(err)
-	m.ConfirmCurrent(5, 10*time.Second)
+	m.ConfirmCurrent(Version{Revision: 5}, 10*time.Second)
 	is.Equal(m.Age(12*time.Second), 2*time.Second)
-	m.ConfirmCurrent(5, 8*time.Second) // An earlier confirmation has no effect.
+	m.ConfirmCurrent(Version{Revision: 5}, 8*time.Second) // An earlier confirmation has no effect.
 	is.Equal(m.Age(12*time.Second), 2*time.Second)
-	m.ConfirmCurrent(7, 12*time.Second) // The replica is behind revision 7.
+	m.ConfirmCurrent(Version{Revision: 7}, 12*time.Second) // The replica is behind revision 7.
 	is.Equal(m.Age(12*time.Second), 2*time.Second)
 }
 
 func TestEmptyReplicaRejectsPartialDelta(t *testing.T) {
 	is := is.New(t)
-	_, err := New(Settings{}).ApplyDelta(0, &Delta{Revision: 5, Items: []Item{{Key: "a", Revision: 5}}})
+	_, err := New(Settings{}).ApplyDelta(0, &Delta{Version: Version{Revision: 5}, Items: []Item{{Key: "a", Revision: 5}}})
 	is.True(err != nil)
 }
 
 func ExampleReplica() {
 	m := New(Settings{})
-	_, _ = m.ApplySnapshot(0, []Item{{Key: "a", Value: []byte("1"), Revision: 3}}, 4)
-	m.ApplyChanges(time.Second, []Item{{Key: "a", Revision: 5, Deleted: true}}, 5)
+	_, _ = m.ApplySnapshot(0, []Item{{Key: "a", Value: []byte("1"), Revision: 3}}, Version{Revision: 4})
+	_, _ = m.ApplyChanges(time.Second, []Item{{Key: "a", Revision: 5, Deleted: true}}, Version{Revision: 5})
 	_, ok := m.Get("a")
-	fmt.Println(m.Revision(), ok)
+	fmt.Println(m.Version().Revision, ok)
 	// Output: 5 false
 }
