Hosts follow a restored store without going back

A host that started after a restore showed the older document and sent flows to servers that drain or have left.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,9 @@
 	// and available again.
 	PlatformDown      Kind = "platformDown"
 	PlatformRecovered Kind = "platformBack"
+	// StoreRestored reports that the platform's store was restored from an older
+	// copy.
+	StoreRestored Kind = "storeRestored"
 	// Quarantined reports a server that gets no traffic yet, because its address
 	// belonged to another service until recently.
 	Quarantined Kind = "quarantined"
--- a/internal/marked/admin.go
+++ b/internal/marked/admin.go
@@ -29,6 +29,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", h.serveState)
 	mux.HandleFunc("GET "+retainedStatePath, h.serveRetainedState)
+	mux.HandleFunc("GET "+keptPath, h.serveKept)
 	mux.HandleFunc("POST "+pinsPath, h.servePins)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { h.writeJSON(w, h.Status()) })
 	mux.HandleFunc("GET /events", func(w http.ResponseWriter, r *http.Request) {
@@ -253,6 +254,8 @@
 	for r := steer.NoView; r <= steer.UnknownMark; r++ {
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`lagoonramp_packets_dropped_total{reason=%q}`, r), c.Dropped[r].Load())
 	}
+	metrics.WriteGaugeUint64(w, `lagoonramp_store_era`, h.StoreVersion().Era)
+	metrics.WriteGaugeUint64(w, `lagoonramp_store_items_kept`, h.keptItems.Load())
 	metrics.WriteGaugeUint64(w, `lagoonramp_flows`, c.Flows.Load())
 	metrics.WriteCounterUint64(w, `lagoonramp_log_lines_dropped_total`, h.settings.DroppedLogLines())
 	if p := h.published.Load(); p != nil {
--- a/internal/marked/broadcast.go
+++ b/internal/marked/broadcast.go
@@ -70,7 +70,7 @@
 // state fetch it from the host that forwards the broadcast to them, so a host
 // with a stale replica defers this until the replica has caught up.
 func (p *peers) forwardBroadcast(now time.Duration, d *digest, c *control) {
-	if c.replica.Revision() < d.Revision {
+	if c.replica.Version().Compare(d.version()) < 0 {
 		if len(p.pendingBroadcasts) >= maxPendingBroadcasts {
 			clear(p.pendingBroadcasts)
 		}
@@ -78,7 +78,7 @@
 		return
 	}
 	out := p.newDigest(now, c, maxBroadcastKnownHosts)
-	out.Revision, out.Age, out.Since, out.Items = d.Revision, d.Age, d.Since, d.Items
+	out.Era, out.Revision, out.Age, out.Since, out.Items = d.Era, d.Revision, d.Age, d.Since, d.Items
 	p.sendToDelegates(out, d.Broadcast)
 }
 
--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,13 +14,15 @@
 
 // Store is a client of the platform's key-value store.
 type Store interface {
-	// Read returns all items and a revision up to which they include all
+	// Read returns all items and a version up to which they include all
 	// changes. If it reads in several parts, it passes the parts to onPart as
-	// they arrive; it may omit one, since the result contains it anyway.
-	Read(ctx context.Context, onPart func([]mirror.Item)) ([]mirror.Item, uint64, error)
-	// Watch waits for changes after a revision, for at most wait. The call fails
-	// if it takes longer than wait and grace together.
-	Watch(ctx context.Context, after uint64, wait, grace time.Duration) ([]mirror.Item, uint64, error)
+	// they arrive; it may omit one, since the result contains it anyway. The items
+	// of a part belong to one era, and those of the result to that of the version.
+	Read(ctx context.Context, onPart func([]mirror.Item)) ([]mirror.Item, mirror.Version, error)
+	// Watch waits for changes after a version, for at most wait. The call fails
+	// if it takes longer than wait and grace together, and with mirror.ErrHigherEra
+	// or mirror.ErrLowerEra if the store is in another era.
+	Watch(ctx context.Context, after mirror.Version, wait, grace time.Duration) ([]mirror.Item, mirror.Version, error)
 	// Announce writes one of lagoonramp's own keys, which expires after ttl.
 	Announce(ctx context.Context, key string, value []byte, ttl time.Duration) error
 	Close()
@@ -39,9 +42,12 @@
 	// own keys; ok is false if the key does not have the prefix.
 	ParseOwnKey(i mirror.Item) (key string, ok bool)
 	// NeedsSnapshot reports whether the error of a watch means that the changes
-	// after its revision cannot be had: the store no longer has them, or its answer
-	// cannot be read.
+	// after its version cannot be had: the store no longer has them, its answer
+	// cannot be read, or the store is in a higher era.
 	NeedsSnapshot(err error) bool
+	// Precedence decides which items stay in force if the store is restored from an
+	// older copy.
+	mirror.Precedence
 }
 
 const (
@@ -81,11 +87,11 @@
 	// decoded caches the decoded servers by the keys of their items.
 	decoded  map[string]decodedServer
 	document *fleet.Document
-	// documentRevision is the revision of the latest item with a document,
-	// valid or not.
-	documentRevision uint64
-	rebuildTimer     *time.Timer
-	peers            *peers
+	// documentItem is the version of the latest item with a document, valid or
+	// not.
+	documentItem mirror.Version
+	rebuildTimer *time.Timer
+	peers        *peers
 	// documentVersion is the version of the document in force.
 	documentVersion uint64
 	// previewItems holds the items of the first snapshot while it is read, and
@@ -98,7 +104,7 @@
 
 // decodedServer is a cached result of Decoder.Server.
 type decodedServer struct {
-	revision uint64
+	version mirror.Version
 	// server is nil if the item is invalid.
 	server *fleet.Server
 }
@@ -106,9 +112,9 @@
 // update is a change to apply to the replica.
 type update struct {
 	delta *mirror.Delta
-	// confirmedRevision was current at confirmedAt, as the source knows.
-	confirmedRevision uint64
-	confirmedAt       time.Duration
+	// confirmed was current at confirmedAt, as the source knows.
+	confirmed   mirror.Version
+	confirmedAt time.Duration
 	// source is the name or address of the sender, or "store", for the log.
 	source string
 }
@@ -131,30 +137,36 @@
 		case <-ticker.C:
 			now := c.host.now()
 			c.host.clock.heartbeat(now)
+			c.expireKept(now)
+			c.retryStart()
 			c.peers.tick(now, c)
 		}
 	}
 }
 
 // applyUpdate applies an update to the replica. If that changes the replica, it
-// publishes a new view, and it notifies peers of a new revision.
+// publishes a new view, and it notifies peers of a new version.
 func (c *control) applyUpdate(u update) {
 	now := c.host.now()
-	before := c.replica.Revision()
+	before := c.replica.Version()
 	changed, err := c.replica.ApplyDelta(now, u.delta)
 	if err != nil {
 		c.host.log.Warn("control: update not applied", zap.String("source", u.source), zap.Error(err))
 		return
 	}
+	version := c.replica.Version()
+	if version.Era > before.Era {
+		c.handleNewEra(now, before, u.source)
+	}
 	if changed {
 		c.peers.addRecords(now, u.delta.Items)
 		c.buildView(now)
 	}
-	c.replica.ConfirmCurrent(u.confirmedRevision, u.confirmedAt)
+	c.replica.ConfirmCurrent(u.confirmed, u.confirmedAt)
 	c.refreshPublished(now)
-	c.host.storeRevision.Store(c.replica.Revision())
-	if c.replica.Revision() > before {
-		c.peers.announceRevision(now, before, incrementalItems(u.delta), c)
+	c.host.storeVersion.Store(&version)
+	if version.Compare(before) > 0 {
+		c.peers.announceVersion(now, before, incrementalItems(u.delta), c)
 	}
 }
 
@@ -162,7 +174,7 @@
 // it has read the whole. This matters after a restart of all hosts, which then
 // read the store at the same time.
 func (c *control) addPreview(items []mirror.Item) {
-	if c.replica.Loaded() {
+	if c.replica.Loaded() || !c.restartPreview(items) {
 		return
 	}
 	c.previewItems = append(c.previewItems, items...)
@@ -180,6 +192,10 @@
 		c.replica.ForEachItem(f)
 		return
 	}
+	if c.replica.Remembers() {
+		c.replica.Preview(c.host.now(), c.previewItems).ForEachItem(f)
+		return
+	}
 	for _, i := range c.previewItems {
 		f(i)
 	}
@@ -187,12 +203,16 @@
 
 // incrementalItems returns the items of a delta that peers may apply, or nil
 // for a snapshot: its items do not include all deletions, so peers have to
-// fetch the state.
+// fetch the state. The era of the delta applies to the items.
 func incrementalItems(d *mirror.Delta) []mirror.Item {
 	if d.Snapshot {
 		return nil
 	}
-	return d.Items
+	items := slices.Clone(d.Items)
+	for i := range items {
+		items[i].Era = 0
+	}
+	return items
 }
 
 // buildView builds a view from the known items and publishes it.
@@ -207,8 +227,9 @@
 		c.decodeItem(i, servers)
 	})
 	c.builder.SetEvacuated(evacuated)
+	c.builder.SetLeft(c.hiddenServers())
 	previous := c.documentVersion
-	view := c.builder.Build(now, now-c.replica.Age(now), c.replica.Revision(), c.document, servers)
+	view := c.builder.Build(now, now-c.replica.Age(now), c.replica.Version().Revision, c.document, servers)
 	if c.documentVersion = view.DocumentVersion; c.documentVersion != previous {
 		c.host.events.Add(event.Event{Kind: event.Adopted, Revision: view.DocumentVersion})
 	}
@@ -226,11 +247,11 @@
 // startTraffic lets the traffic loop start with the first view that has an
 // operators' document.
 func (c *control) startTraffic(view *fleet.View) {
-	if c.trafficStarted || view.DocumentVersion == 0 {
+	now := c.host.now()
+	if c.trafficStarted || view.DocumentVersion == 0 || c.awaitsKept(now) {
 		return
 	}
 	c.trafficStarted = true
-	now := c.host.now()
 	c.host.readyAt.Store(int64(now))
 	c.peers.notifyReadiness(now, c)
 	c.peers.repeatNotice = true
@@ -255,14 +276,15 @@
 	if !c.replica.Loaded() {
 		confirmed = now - 2*maxRefusalViewAge // Too old to refuse flows: the preview lacks items.
 	}
+	c.host.keptItems.Store(uint64(c.replica.KeptCount()))
 	c.host.published.Store(&publishedView{view: v, confirmedAt: confirmed, hostCount: 1 + c.peers.countLive(now)})
 }
 
 // decodeItem decodes an item. It adds a server to servers, and makes a valid
 // document that is not older the current one. A server's item is decoded once
-// per revision.
+// per version.
 func (c *control) decodeItem(i mirror.Item, servers map[string]*fleet.Server) {
-	if d, ok := c.decoded[i.Key]; ok && d.revision == i.Revision {
+	if d, ok := c.decoded[i.Key]; ok && d.version == i.Version() {
 		if d.server != nil {
 			servers[d.server.ID] = d.server
 		}
@@ -271,22 +293,22 @@
 	s, ok, err := c.host.settings.Decoder.Server(i)
 	if ok {
 		if err != nil {
-			c.decoded[i.Key] = decodedServer{revision: i.Revision}
+			c.decoded[i.Key] = decodedServer{version: i.Version()}
 			c.host.sampledLog.Warn("control: invalid server entry", zap.String("key", i.Key), zap.Error(err))
 			return
 		}
-		c.decoded[i.Key] = decodedServer{revision: i.Revision, server: s}
+		c.decoded[i.Key] = decodedServer{version: i.Version(), server: s}
 		servers[s.ID] = s
 		return
 	}
-	if i.Revision <= c.documentRevision {
+	if i.Version() == c.documentItem {
 		return
 	}
 	d, ok, err := c.host.settings.Decoder.Document(i)
 	if !ok {
 		return
 	}
-	c.documentRevision = i.Revision
+	c.documentItem = i.Version()
 	if err != nil {
 		c.host.log.Error("control: invalid operators' document, the previous one stays in force", zap.Error(err))
 		return
--- a/internal/marked/digest.go
+++ b/internal/marked/digest.go
@@ -20,8 +20,9 @@
 	Address    string `json:"address"`
 	// Instance identifies the process of the sender. It changes with a restart.
 	Instance uint64 `json:"instance,omitempty"`
-	// Revision is the revision of the sender's replica, and Age the time since
-	// the sender knew that it was current.
+	// Era and Revision are the version of the sender's replica, and Age the time
+	// since the sender knew that it was current.
+	Era      uint64        `json:"era,omitempty"`
 	Revision uint64        `json:"revision"`
 	Age      time.Duration `json:"age"`
 	// Served reports whether the sender watches the store for other hosts and
@@ -34,8 +35,8 @@
 	// Broadcast specifies the hosts to which the receiver forwards the digest;
 	// nil for none.
 	Broadcast *broadcast `json:"round,omitempty"`
-	// Items are the changes from the revision Since to Revision. They are left
-	// out if they do not fit the datagram.
+	// Items are the changes from the revision Since of the same era to Revision. They
+	// are left out if they do not fit the datagram.
 	Since uint64        `json:"since,omitempty"`
 	Items []mirror.Item `json:"items,omitempty"`
 	// Pins name the servers of flows whose packets may carry the mark of another
@@ -43,6 +44,11 @@
 	Pins []steer.Pin `json:"pins,omitempty"`
 }
 
+// version returns the version of the sender's replica.
+func (d *digest) version() mirror.Version {
+	return mirror.Version{Era: d.Era, Revision: d.Revision}
+}
+
 // knownHost is an entry of a digest on a host other than its sender.
 type knownHost struct {
 	Address    string `json:"address"`
@@ -54,9 +60,10 @@
 // newDigest returns a digest of this host with at most maxKnown randomly chosen
 // other hosts.
 func (p *peers) newDigest(now time.Duration, c *control, maxKnown int) *digest {
+	version := c.replica.Version()
 	d := &digest{
 		From: p.host.settings.Name, DataCentre: p.host.settings.DataCentre, Address: p.host.settings.PeerAddress.String(), Instance: p.host.instance,
-		Revision: c.replica.Revision(), Age: c.replica.Age(now), Served: p.isBroadcaster(),
+		Era: version.Era, Revision: version.Revision, Age: c.replica.Age(now), Served: p.isBroadcaster(),
 		Report: p.host.readinessReport(now),
 	}
 	for range min(maxKnown, 1+len(p.byID)/peersPerKnownHost, len(p.byID)) {
--- a/internal/marked/fetch.go
+++ b/internal/marked/fetch.go
@@ -1,6 +1,7 @@
 package marked
 
 import (
+	"cmp"
 	"compress/gzip"
 	"context"
 	"encoding/json"
@@ -25,16 +26,17 @@
 	go p.host.fetchFrom(*f, p.byID[f.Peer].address)
 }
 
-// fetchFrom fetches the changes since this host's revision from a peer and
+// fetchFrom fetches the changes since this host's version from a peer and
 // applies them in the control loop.
 func (h *Host) fetchFrom(f gossip.Fetch, from netip.AddrPort) {
 	started := h.now()
 	h.fetches.Add(1)
-	d, err := fetchState(h.client, from, h.storeRevision.Load())
+	d, err := fetchState(h.client, from, h.StoreVersion())
 	if err == nil {
 		if err = validateDelta(d); err != nil {
 			h.rejectMessage(from.String(), err)
 		}
+		d.Kept = h.validKept(from.String(), d.Kept)
 	}
 	h.postToControl(func(c *control) {
 		if err != nil {
@@ -42,16 +44,20 @@
 			c.peers.gossip.FetchFailed(h.now(), f)
 			return
 		}
-		c.applyUpdate(update{delta: d, confirmedRevision: d.Revision, confirmedAt: started - d.Age, source: from.String()})
+		c.applyUpdate(update{delta: d, confirmed: d.Version, confirmedAt: started - d.Age, source: from.String()})
 	})
 }
 
-// fetchState fetches the changes after a revision, or a snapshot, from a host.
-func fetchState(client *http.Client, from netip.AddrPort, revision uint64) (*mirror.Delta, error) {
+// fetchState fetches the changes after a version, or a snapshot, from a host.
+func fetchState(client *http.Client, from netip.AddrPort, after mirror.Version) (*mirror.Delta, error) {
 	var d mirror.Delta
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	return &d, getJSON(ctx, client, from, fmt.Sprintf("/state?after=%d", revision), &d)
+	path := fmt.Sprintf("/state?after=%d", after.Revision)
+	if after.Era > 0 {
+		path += fmt.Sprintf("&era=%d", after.Era)
+	}
+	return &d, getJSON(ctx, client, from, path, &d)
 }
 
 // getJSON sends a GET request for a path to a host and decodes the JSON
@@ -73,18 +79,24 @@
 	return eris.Wrapf(err, "decode the answer of %s to %s", from, path)
 }
 
-// serveState writes the changes after a revision, or a snapshot, for a peer.
+// serveState writes the changes after a version, or a snapshot, for a peer. The era
+// is 0 if the peer does not name one.
 func (h *Host) serveState(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after must be a revision", http.StatusBadRequest)
 		return
 	}
+	era, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("era"), "0"), 10, 64)
+	if err != nil {
+		http.Error(w, "era must be a number", http.StatusBadRequest)
+		return
+	}
 	var d mirror.Delta
 	loaded := false
 	h.callControl(func(c *control) {
 		loaded = c.replica.Loaded()
-		d = c.replica.DeltaSince(h.now(), after)
+		d = c.replica.DeltaSince(h.now(), mirror.Version{Era: era, Revision: after})
 	})
 	if !loaded {
 		http.Error(w, "the host knows no state yet", http.StatusServiceUnavailable)
--- a/internal/marked/fuzz_test.go
+++ b/internal/marked/fuzz_test.go
@@ -23,6 +23,7 @@
 	f.Add([]byte(`{"from":"h3","dataCentre":"a","address":"127.0.9.3:9","revision":9,"since":3,"items":[{"key":"servers/i-0","value":"e30=","revision":9}],"readyFor":-1,"askedFor":9223372036854775807}`))
 	f.Add([]byte(`{"from":"h4","dataCentre":"a","address":"127.0.9.4:9","pins":[{"Key":{"Caller":"1.2.3.4:5","Service":"6.7.8.9:1"},"Mark":3}]}`))
 	f.Add([]byte(`{"address":"[::1]:9","known":[{"address":":0"},{"address":"0.0.0.0:0"}],"round":{"origin":"x"}}`))
+	f.Add([]byte(`{"from":"h5","dataCentre":"a","address":"127.0.9.5:9","era":18446744073709551615,"revision":1,"since":1,"items":[{"key":"servers/i-0","era":7,"revision":1}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var d digest
 		if json.Unmarshal(data, &d) != nil {
@@ -45,10 +46,11 @@
 	p, c := newTestPeers(t, 1)
 	p.host.settings.Decoder = platform.Decoder{}
 	p.host.firstView = make(chan struct{})
+	c.replica = mirror.New(mirror.Settings{Precedence: platform.Decoder{}})
 	c.decoded = map[string]decodedServer{}
 	c.builder = fleet.NewBuilder(fleet.Settings{})
 	c.rebuildTimer = time.NewTimer(time.Hour)
-	c.applyUpdate(update{delta: &mirror.Delta{Snapshot: true, Revision: 2, Items: []mirror.Item{
+	c.applyUpdate(update{delta: &mirror.Delta{Snapshot: true, Version: mirror.Version{Revision: 2}, Items: []mirror.Item{
 		{Key: "op/config", Revision: 1, Value: stub.Document(1, stub.Route{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "desk"})},
 		{Key: "servers/i-1", Revision: 2, Value: stub.Entry("desk", netip.MustParseAddrPort("10.0.0.9:80"), "a", 1, "ready", 1)},
 	}}})
@@ -92,6 +94,7 @@
 // FuzzApplyPeerState checks the same for the state that a peer sends.
 func FuzzApplyPeerState(f *testing.F) {
 	f.Add([]byte(`{"revision":9,"whole":true,"items":[{"key":"servers/i-2","value":"e30=","revision":9}]}`))
+	f.Add([]byte(`{"era":3,"revision":9,"whole":true,"items":[{"key":"servers/i-2","value":"e30=","revision":9},{"key":"op/config","value":"e30=","revision":5}],"kept":[{"key":"servers/i-2","value":"e30=","revision":9,"era":1,"deleted":true,"changed":{"era":2,"revision":9},"left":9223372036854775807},{"key":"op/evacuate/x","revision":1,"changed":{"revision":1},"left":-1}]}`))
 	f.Add([]byte(`{"revision":9,"floor":99,"items":[{"revision":18446744073709551615},{"key":"op/config","value":"e30=","revision":5,"deleted":true}],"age":-9223372036854775808}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var d mirror.Delta
@@ -99,8 +102,11 @@
 			return
 		}
 		c := newFuzzControl(t)
-		c.applyUpdate(update{delta: &d, confirmedRevision: d.Revision, confirmedAt: -d.Age, source: "peer"})
+		d.Kept = c.host.validKept("peer", d.Kept)
+		c.replica.MergeKept(0, d.Kept)
+		c.applyUpdate(update{delta: &d, confirmed: d.Version, confirmedAt: -d.Age, source: "peer"})
 		c.buildView(c.host.now())
+		c.expireKept(time.Hour)
 		checkView(t, c)
 	})
 }
--- a/internal/marked/host.go
+++ b/internal/marked/host.go
@@ -97,8 +97,10 @@
 	peerListener      net.Listener
 	adminListener     net.Listener
 	peerConn          *net.UDPConn
-	// storeRevision is the revision of the control loop's replica.
-	storeRevision atomic.Uint64
+	// storeVersion is the version of the control loop's replica, nil before its first
+	// snapshot, and keptItems the number of items of earlier eras that are in force.
+	storeVersion atomic.Pointer[mirror.Version]
+	keptItems    atomic.Uint64
 	// needsSnapshot makes the watch loop read a snapshot instead of changes.
 	needsSnapshot atomic.Bool
 	// shortWatch makes the watch loop use shortWatchWait. It is set while the
@@ -215,7 +217,7 @@
 	h.events.Add(event.Event{Kind: event.Started})
 	h.log.Info("entry: started", zap.String("name", h.settings.Name), zap.String("dataCentre", h.settings.DataCentre))
 	c := &control{
-		host: h, replica: mirror.New(mirror.Settings{}), decoded: map[string]decodedServer{},
+		host: h, replica: mirror.New(mirror.Settings{Precedence: h.settings.Decoder}), decoded: map[string]decodedServer{},
 		builder: fleet.NewBuilder(fleet.Settings{FlowLifetime: h.settings.FlowLifetime}),
 	}
 	c.peers = newPeers(h, h.peerConn)
@@ -329,4 +331,13 @@
 
 // StoreRevision returns the revision of the store up to which the host has all
 // changes.
-func (h *Host) StoreRevision() uint64 { return h.storeRevision.Load() }
+func (h *Host) StoreRevision() uint64 { return h.StoreVersion().Revision }
+
+// StoreVersion returns the version of the store up to which the host has all changes.
+// Its revision is 0 if the host has none yet.
+func (h *Host) StoreVersion() mirror.Version {
+	if v := h.storeVersion.Load(); v != nil {
+		return *v
+	}
+	return mirror.Version{}
+}
--- a/internal/marked/marked_test.go
+++ b/internal/marked/marked_test.go
@@ -330,16 +330,16 @@
 // complete the read.
 type partialStore struct{ marked.Store }
 
-func (p *partialStore) Read(ctx context.Context, onPart func([]mirror.Item)) ([]mirror.Item, uint64, error) {
+func (p *partialStore) Read(ctx context.Context, onPart func([]mirror.Item)) ([]mirror.Item, mirror.Version, error) {
 	items, _, err := p.Store.Read(ctx, onPart)
 	if err != nil {
-		return nil, 0, err
+		return nil, mirror.Version{}, err
 	}
 	for _, i := range items {
 		onPart([]mirror.Item{i})
 	}
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, mirror.Version{}, ctx.Err()
 }
 
 // TestHostServesDuringFirstRead checks that a host serves flows while its first
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -122,11 +122,14 @@
 	// sent twice, since one datagram may be lost.
 	repeatNotice bool
 	retained     retainedQueries
+	keptQueries  keptQueries
 	// nextAnnounce is the time of the next check whether the store has enough
 	// records of hosts.
 	nextAnnounce time.Duration
-	// recordWrittenAt is when this process last wrote it, 0 for never.
+	// recordWrittenAt is when this process last wrote it, 0 for never. rewriteRecord
+	// makes the next check ignore it, since the store may have lost it.
 	recordWrittenAt time.Duration
+	rewriteRecord   bool
 }
 
 // peerID returns the ID of the host with a peer address.
@@ -200,15 +203,15 @@
 	if origin != 0 {
 		p.watchers.ObserveHost(now, origin, true)
 	}
-	if len(d.Items) > 0 && c.replica.Loaded() && c.replica.Revision() >= d.Since {
-		c.applyUpdate(update{delta: &mirror.Delta{Revision: d.Revision, Items: d.Items}, source: d.From})
+	if own := c.replica.Version(); len(d.Items) > 0 && c.replica.Loaded() && own.Era == d.Era && own.Revision >= d.Since {
+		c.applyUpdate(update{delta: &mirror.Delta{Version: d.version(), Items: d.Items}, source: d.From})
 	}
-	c.replica.ConfirmCurrent(d.Revision, now-d.Age)
+	c.replica.ConfirmCurrent(d.version(), now-d.Age)
 	c.refreshPublished(now)
 	if origin != 0 {
 		p.forwardBroadcast(now, d, c)
 	}
-	p.fetch(p.gossip.ObserveRevision(now, from.id, d.Revision))
+	p.fetch(p.gossip.ObserveVersion(now, from.id, d.version()))
 }
 
 // handleJoin handles the first digest of a process of a host. If routers may move
@@ -226,13 +229,13 @@
 	}
 }
 
-// announceRevision notifies peers of a new revision of the replica. items are
-// the changes after the revision since, or nil if peers have to fetch them.
-func (p *peers) announceRevision(now time.Duration, since uint64, items []mirror.Item, c *control) {
-	notify := p.gossip.SetRevision(c.replica.Revision())
+// announceVersion notifies peers of a new version of the replica. items are the
+// changes after the version since, or nil if peers have to fetch them.
+func (p *peers) announceVersion(now time.Duration, since mirror.Version, items []mirror.Item, c *control) {
+	notify := p.gossip.SetVersion(c.replica.Version())
 	p.forwardPendingBroadcasts(now, c)
 	d := p.newDigest(now, c, maxBroadcastKnownHosts)
-	d.Since, d.Items = since, items
+	d.Since, d.Items = since.Revision, items
 	fits := len(items) > 0 && p.fitsDatagram(d)
 	if p.isBroadcaster() && (fits || len(p.byID) > maxDirectHosts) {
 		p.startBroadcast(d)
@@ -240,7 +243,7 @@
 	}
 	// Peers that have to fetch the changes are notified a few at a time, so that
 	// they do not all fetch from the same host at once. The others learn of the
-	// revision from the next digests.
+	// version from the next digests.
 	for _, id := range notify {
 		p.sendDigest(d, p.byID[id].address)
 	}
@@ -259,6 +262,7 @@
 	}
 	p.fetch(p.gossip.Tick(now))
 	p.queryRetainedState(now, c)
+	p.queryKept(c)
 	p.sendPins(now, c)
 	if p.repeatNotice {
 		p.repeatNotice = false
--- a/internal/marked/peers_test.go
+++ b/internal/marked/peers_test.go
@@ -189,7 +189,7 @@
 	before := p.host.digestsSent.Load()
 	p.handleDigest(0, d, c)
 	is.Equal(p.host.digestsSent.Load(), before)
-	_, err := c.replica.ApplyDelta(0, &mirror.Delta{Snapshot: true, Revision: 7})
+	_, err := c.replica.ApplyDelta(0, &mirror.Delta{Snapshot: true, Version: mirror.Version{Revision: 7}})
 	is.NoErr(err)
 	p.forwardPendingBroadcasts(0, c)
 	is.Equal(p.host.digestsSent.Load()-before, uint64(broadcastDegree))
@@ -347,7 +347,7 @@
 func TestForgedDigestsAreBounded(t *testing.T) {
 	is := is.New(t)
 	p, c := newTestPeers(t, 1)
-	_, err := c.replica.ApplyDelta(0, &mirror.Delta{Snapshot: true, Revision: 7})
+	_, err := c.replica.ApplyDelta(0, &mirror.Delta{Snapshot: true, Version: mirror.Version{Revision: 7}})
 	is.NoErr(err)
 	now := time.Minute
 	p.handleDigest(now, &digest{From: "x", Address: "127.0.9.77:9", Revision: 7, Age: -time.Hour}, c)
--- a/internal/marked/record.go
+++ b/internal/marked/record.go
@@ -77,6 +77,10 @@
 	if p.recordWrittenAt > 0 && now-p.recordWrittenAt > announceTTL-2*announceInterval {
 		delete(recorded, p.self) // It is about to expire.
 	}
+	if p.rewriteRecord {
+		p.rewriteRecord = false
+		delete(recorded, p.self)
+	}
 	if gossip.NeedsRecord(p.self, p.liveInDataCentre(now), recorded) {
 		p.recordWrittenAt = now
 		go p.host.writeRecord(own)
--- a/internal/marked/testbed_test.go
+++ b/internal/marked/testbed_test.go
@@ -71,20 +71,20 @@
 
 var errRefused = errors.New("the store refuses this host")
 
-func (g *refusableStore) Read(ctx context.Context, onPart func([]mirror.Item)) ([]mirror.Item, uint64, error) {
+func (g *refusableStore) Read(ctx context.Context, onPart func([]mirror.Item)) ([]mirror.Item, mirror.Version, error) {
 	if g.refusing.Load() {
-		return nil, 0, errRefused
+		return nil, mirror.Version{}, errRefused
 	}
 	return g.Store.Read(ctx, onPart)
 }
 
-func (g *refusableStore) Watch(ctx context.Context, after uint64, wait, grace time.Duration) ([]mirror.Item, uint64, error) {
+func (g *refusableStore) Watch(ctx context.Context, after mirror.Version, wait, grace time.Duration) ([]mirror.Item, mirror.Version, error) {
 	if g.refusing.Load() {
-		return nil, 0, errRefused
+		return nil, mirror.Version{}, errRefused
 	}
 	items, revision, err := g.Store.Watch(ctx, after, wait, grace)
 	if g.refusing.Load() {
-		return nil, 0, errRefused
+		return nil, mirror.Version{}, errRefused
 	}
 	return items, revision, err
 }
--- a/internal/marked/watch.go
+++ b/internal/marked/watch.go
@@ -31,7 +31,8 @@
 			}
 			continue
 		}
-		isFirst := h.storeRevision.Load() == 0
+		before := h.StoreVersion()
+		isFirst := before.Revision == 0
 		changed, err := h.pollStore(ctx, grace)
 		switch {
 		case err == nil && isFirst:
@@ -47,8 +48,8 @@
 		case ctx.Err() != nil:
 			return
 		case !isFirst && !h.needsSnapshot.Load() && h.settings.Decoder.NeedsSnapshot(err):
-			h.log.Info("watch: changes cannot be had, reading a snapshot", zap.Uint64("revision", h.storeRevision.Load()), zap.Error(err))
-			h.needsSnapshot.Store(true)
+			h.log.Info("watch: changes cannot be had, reading a snapshot", zap.Uint64("era", before.Era), zap.Uint64("revision", before.Revision), zap.Error(err))
+			h.needsSnapshot.Store(!errors.Is(err, mirror.ErrHigherEra) || h.awaitSnapshotOfPeer(ctx, before))
 		case errors.Is(err, context.DeadlineExceeded):
 			// The answer is probably lost, so retry without delay.
 			h.recordStoreFailure(err)
@@ -65,23 +66,26 @@
 // applies the result in the control loop. It reports whether there were any
 // items.
 func (h *Host) pollStore(ctx context.Context, grace time.Duration) (changed bool, err error) {
-	revision := h.storeRevision.Load()
+	version := h.StoreVersion()
 	at := h.now()
 	h.storeCalls.Add(1)
 	wait := watchWait
 	if h.shortWatch.Load() {
 		wait = shortWatchWait
 	}
-	d := &mirror.Delta{Snapshot: revision == 0 || h.needsSnapshot.Load()}
+	d := &mirror.Delta{Snapshot: version.Revision == 0 || h.needsSnapshot.Load()}
 	if d.Snapshot {
 		h.snapshotReads.Add(1)
-		d.Items, d.Revision, err = h.settings.Store.Read(ctx, func(part []mirror.Item) { h.callControl(func(c *control) { c.addPreview(part) }) })
+		d.Items, d.Version, err = h.settings.Store.Read(ctx, func(part []mirror.Item) { h.callControl(func(c *control) { c.addPreview(part) }) })
 	} else {
-		d.Items, d.Revision, err = h.settings.Store.Watch(ctx, revision, wait, grace)
+		d.Items, d.Version, err = h.settings.Store.Watch(ctx, version, wait, grace)
 		if len(d.Items) == 0 {
 			at = h.now()
 		}
 	}
+	if err == nil && d.Era < version.Era {
+		err = mirror.ErrLowerEra
+	}
 	if err != nil {
 		return false, err
 	}
@@ -89,7 +93,7 @@
 		h.needsSnapshot.Store(false)
 	}
 	h.callControl(func(c *control) {
-		c.applyUpdate(update{delta: d, confirmedRevision: d.Revision, confirmedAt: at, source: "store"})
+		c.applyUpdate(update{delta: d, confirmed: d.Version, confirmedAt: at, source: "store"})
 	})
 	return len(d.Items) > 0, nil
 }
@@ -108,8 +112,8 @@
 func (h *Host) recordStoreSuccess() {
 	h.served.Store(true)
 	if h.storeUnavailable.Swap(false) {
-		h.events.Add(event.Event{Kind: event.PlatformRecovered, Revision: h.storeRevision.Load()})
-		h.log.Info("watch: the store is back", zap.Uint64("revision", h.storeRevision.Load()))
+		h.events.Add(event.Event{Kind: event.PlatformRecovered, Revision: h.StoreRevision()})
+		h.log.Info("watch: the store is back", zap.Uint64("revision", h.StoreRevision()))
 	}
 }
 
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -43,6 +43,9 @@
 	services map[string]Service
 	// evacuated holds the data centres whose servers get no new flows.
 	evacuated map[string]bool
+	// left holds the IDs of servers that have left although the store may have shown
+	// their entries since.
+	left map[string]bool
 	// nextChange is the earliest time at which the view may change without a
 	// change in the store, 0 if there is none.
 	nextChange time.Duration
@@ -61,6 +64,9 @@
 	inStore bool
 	// removedAt is when the entry disappeared. It is valid if inStore is false.
 	removedAt time.Duration
+	// left is set if the server is known to have left (SetLeft), until its entry
+	// appears again.
+	left bool
 }
 
 // routeRecord is a route with its present and former services.
@@ -91,6 +97,11 @@
 // takes effect with the next Build.
 func (b *Builder) SetEvacuated(dataCentres map[string]bool) { b.evacuated = dataCentres }
 
+// SetLeft replaces the set of servers that have left although the store shows their
+// entries, or has shown them, since it was restored from an older copy. Such a
+// server is not used for ExpiryGrace. It takes effect with the next Build.
+func (b *Builder) SetLeft(ids map[string]bool) { b.left = ids }
+
 // Build returns the view for a state of the store that was known to be current
 // at confirmedAt. The document is nil if there is none; servers maps IDs to
 // entries. Build sets WarmupEnd in these entries and retains them.
@@ -175,7 +186,7 @@
 			s.WarmupEnd = r.server.WarmupEnd
 		}
 		r.server = s
-		r.inStore = true
+		r.inStore, r.left = true, false
 	}
 	for id, r := range b.servers {
 		if servers[id] != nil {
@@ -185,6 +196,7 @@
 			r.inStore = false
 			r.removedAt = now
 		}
+		r.left = r.left || b.left[id]
 		if now-r.removedAt >= b.settings.FlowLifetime {
 			delete(b.servers, id)
 		}
@@ -259,6 +271,9 @@
 	if r.inStore {
 		return true
 	}
+	if r.left {
+		return false
+	}
 	end := r.removedAt + b.settings.ExpiryGrace
 	if now >= end && b.confirmedAt >= end-b.settings.ExpiryGrace/2 {
 		return false
--- a/pkg/fleet/builder_test.go
+++ b/pkg/fleet/builder_test.go
@@ -225,3 +225,19 @@
 	is.True(!b.Build(start, start, 1, doc, byID(server("a", "desk", "10.0.0.1:80", Ready))).Incomplete)
 	is.Equal(b.NextChange(), time.Duration(0)) // No rebuild: the service has a server.
 }
+
+// TestServerThatLeftIsNotUsed guards against a server that a restored store showed
+// again, and that is used for the grace period once a host learns that it has left.
+func TestServerThatLeftIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder(Settings{})
+	servers := map[string]*Server{"s1": {ID: "s1", Service: "a", Address: netip.MustParseAddrPort("10.0.0.1:80")}}
+	is.Equal(len(b.Build(0, 0, 1, nil, servers).Usable["a"]), 1)
+	b.SetLeft(map[string]bool{"s1": true})
+	v := b.Build(0, 0, 2, nil, nil)
+	is.Equal(len(v.Usable["a"]), 0)
+	is.Equal(len(v.ServersByMark), 1) // Its open flows continue.
+	b.SetLeft(nil)                    // The store no longer shows it.
+	is.Equal(len(b.Build(0, 0, 2, nil, nil).Usable["a"]), 0)
+	is.Equal(len(b.Build(0, 0, 3, nil, servers).Usable["a"]), 1) // It has started again.
+}
