--- a/spec/check.sh
+++ b/spec/check.sh
@@ -57,4 +57,11 @@
 expect good reset
 expect bad reset NOREFERENCE
 expect bad reset ONCE
+expect good era
+expect good era TWICE
+expect bad era REVISIONS
+expect bad era ACCEPT
+expect bad era LATE
+expect bad era DELTA
+expect bad era NOQUERY
 exit "$failed"
