--- a/internal/marked/feeders_test.go
+++ b/internal/marked/feeders_test.go
@@ -22,7 +22,7 @@
 func loadedPeers(t *testing.T, n int) (*peers, *control) {
 	t.Helper()
 	p, c := newTestPeers(t, n)
-	if _, err := c.replica.ApplyDelta(testNow, &mirror.Delta{Snapshot: true, Revision: 1}); err != nil {
+	if _, err := c.replica.ApplyDelta(testNow, &mirror.Delta{Snapshot: true, Version: mirror.Version{Revision: 1}}); err != nil {
 		t.Fatal(err)
 	}
 	p.membership.limitsCold = true
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -61,4 +61,11 @@
 expect bad warmup NOHOLDDOWN
 expect bad warmup LIVEONLY
 expect bad warmup NOHEARING
+expect good era
+expect good era TWICE
+expect bad era REVISIONS
+expect bad era ACCEPT
+expect bad era LATE
+expect bad era DELTA
+expect bad era NOQUERY
 exit "$failed"
