--- a/internal/soak/overload.go
+++ b/internal/soak/overload.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -45,19 +46,35 @@
 // runOverload sends requests from many callers for overloadDuration.
 func (t *testbed) runOverload(cycle int) {
 	t.logf("overload: %d callers for %v", overloadCallers, overloadDuration)
-	t.updateActiveFaults(true, 1)
-	defer t.updateActiveFaults(true, -1)
-	end := time.Now().Add(overloadDuration)
-	var callers sync.WaitGroup
-	for caller := range overloadCallers {
-		callers.Go(func() {
+	t.during(unplanned, func() {
+		t.sendBurst(t.Caller, entryDeskAddress, fmt.Sprintf("b%d", cycle), overloadDuration)
+	})
+}
+
+// sendBurst sends requests to an address on overloadCallers flows at once.
+func (t *testbed) sendBurst(c *stub.Caller, address netip.AddrPort, id string, d time.Duration) {
+	end := time.Now().Add(d)
+	var flows sync.WaitGroup
+	for flow := range overloadCallers {
+		flows.Go(func() {
 			for attempt := 0; time.Now().Before(end); attempt++ {
-				o := t.sendRequestWithWork(entryDeskAddress, fmt.Sprintf("b%d-%d-%d", cycle, caller, attempt), 200, overloadRequestWork)
+				o := t.sendRequestFrom(c, address, fmt.Sprintf("%s-%d-%d", id, flow, attempt), 200, overloadRequestWork)
 				if o.Result != stub.Answered {
 					time.Sleep(overloadRetryDelay)
 				}
 			}
 		})
 	}
-	callers.Wait()
+	flows.Wait()
+}
+
+// burstOfRoute sends many requests to a random route at once.
+func (t *testbed) burstOfRoute(d time.Duration) {
+	address := []netip.AddrPort{entryDeskAddress, cataloguePressAddress}[t.randomIntN(2)]
+	t.sendBurst(t.Caller, address, fmt.Sprintf("br%d", t.burstCount.Add(1)), d)
+}
+
+// burstOfCaller sends many requests from one address at once.
+func (t *testbed) burstOfCaller(d time.Duration) {
+	t.sendBurst(t.bursting, entryDeskAddress, fmt.Sprintf("bc%d", t.burstCount.Add(1)), d)
 }
--- a/internal/soak/pauses.go
+++ b/internal/soak/pauses.go
@@ -18,15 +18,20 @@
 	maxPause = 13 * time.Second
 	// lostSYNACKRatio is the ratio of the SYN-ACKs to pausing callers that are lost.
 	lostSYNACKRatio = 0.2
-	// pausingCaller is the number of the address of the callers that pause.
-	pausingCaller = 2
+	// pausingCaller is the number of the address of the callers that pause, and
+	// burstingCaller that of the caller that sends bursts.
+	pausingCaller  = 2
+	burstingCaller = 3
 )
 
-// startPausingCaller starts a caller with an address of its own, which loses
+// startCallers starts two callers with addresses of their own. The pausing one loses
 // SYN-ACKs, so that servers answer the SYNs of its flows twice.
-func (t *testbed) startPausingCaller() error {
+func (t *testbed) startCallers() error {
 	var err error
-	t.pausing, err = t.AddCaller(pausingCaller)
+	if t.pausing, err = t.AddCaller(pausingCaller); err != nil {
+		return err
+	}
+	t.bursting, err = t.AddCaller(burstingCaller)
 	return err
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,7 @@
 	if !t.waitReady() {
 		return nil, fmt.Errorf("the hosts are not ready; see %s", t.dir)
 	}
+	time.Sleep(time.Until(t.startedAt.Add(initialWarmup)))
 	var group sync.WaitGroup
 	for i := range settings.Callers {
 		address := entryDeskAddress
@@ -70,6 +71,7 @@
 	group.Go(t.optionalRouteLoop)
 	group.Go(t.versionLoop)
 	group.Go(t.overloadLoop)
+	group.Go(t.orderLoop)
 	t.injectFaults()
 	t.logf("no more faults")
 	t.checkRecovery()
@@ -105,6 +107,19 @@
 	t.findings = append(t.findings, finding)
 }
 
+// recordOnce records the first violation with a key, and logs the others.
+func (t *testbed) recordOnce(key, format string, args ...any) {
+	t.mu.Lock()
+	known := t.recorded[key]
+	t.recorded[key] = true
+	t.mu.Unlock()
+	if known {
+		t.logf("again: "+format, args...)
+		return
+	}
+	t.recordFinding(format, args...)
+}
+
 // callLoop sends requests of different sizes to a service address until the end
 // of the soak.
 func (t *testbed) callLoop(address netip.AddrPort, caller int) {
@@ -145,16 +160,16 @@
 // sendRequest sends a request whose work depends on its size, and checks the
 // guarantees for its outcome.
 func (t *testbed) sendRequest(address netip.AddrPort, id string, size int) stub.Outcome {
-	return t.sendRequestWithWork(address, id, size, time.Duration(size%7+2)*time.Millisecond)
+	return t.sendRequestFrom(t.Caller, address, id, size, time.Duration(size%7+2)*time.Millisecond)
 }
 
-// sendRequestWithWork sends a request that a server works on for the given time,
+// sendRequestFrom sends a request of a caller that a server works on for the given time,
 // and checks the guarantees for its outcome. A request may break if a server was
 // lost during the request or in the second before it. A request for the optional
 // route may be refused, since the document may not have that route.
-func (t *testbed) sendRequestWithWork(address netip.AddrPort, id string, size int, work time.Duration) stub.Outcome {
+func (t *testbed) sendRequestFrom(c *stub.Caller, address netip.AddrPort, id string, size int, work time.Duration) stub.Outcome {
 	startedAt := time.Now()
-	o := t.Caller.Do(address, id, size, work, requestTimeout)
+	o := c.Do(address, id, size, work, requestTimeout)
 	t.checkOutcome(address, id, startedAt, o)
 	return o
 }
@@ -167,7 +182,7 @@
 	t.mu.Lock()
 	t.resultCounts[o.Result]++
 	serverLost := t.lastServerLoss.After(openedAt.Add(-time.Second))
-	quiet := t.isQuiet()
+	quiet := t.isQuiet() && !t.lastShortage[serviceOf[address]].After(openedAt.Add(-shortageGrace))
 	t.mu.Unlock()
 	switch {
 	case runs > 1:
@@ -187,34 +202,25 @@
 	}
 }
 
-// checkNewFlow checks that a draining server gets no new flows. The ledger calls
-// it for each SYN that a server accepts, with the server locked.
-func (t *testbed) checkNewFlow(s *stub.Server, at time.Time) {
-	t.mu.Lock()
-	current := t.servers[s.ID]
-	tooLate := current != nil && current.Server == s && !current.leavingAt.IsZero() && at.Sub(current.leavingAt) > maxDrainDelay && t.isQuiet()
-	t.mu.Unlock()
-	if tooLate {
-		t.recordFinding("server %s got a new flow %v after the store listed it as draining", s.ID, at.Sub(current.leavingAt))
-	}
-}
-
 // optionalRouteLoop checks that the optional route is served if and only if the
 // latest document has it.
 func (t *testbed) optionalRouteLoop() {
 	for i := 0; !t.stopped.Load(); i++ {
 		t.mu.Lock()
 		hasRoute, changedAt, quiet := t.hasOptionalRoute, t.optionalRouteChangedAt, t.isQuiet()
+		inForce := t.optionalRoute.inForce
 		t.mu.Unlock()
 		mustBeInForce := quiet && time.Since(changedAt) > maxConfigDelay
 		o := t.sendRequest(optionalAddress, fmt.Sprintf("p-%d", i), 10)
 		t.mu.Lock()
-		mustBeInForce = mustBeInForce && t.optionalRouteChangedAt.Equal(changedAt) && t.isQuiet()
+		unchanged := t.optionalRouteChangedAt.Equal(changedAt)
+		mustBeInForce = mustBeInForce && unchanged && t.isQuiet()
+		short := t.lastShortage[serviceOf[optionalAddress]].After(time.Now().Add(-shortageGrace))
 		t.mu.Unlock()
-		if mustBeInForce && hasRoute && o.Result == stub.Refused {
+		if mustBeInForce && hasRoute && !short && o.Result == stub.Refused {
 			t.recordFinding("an added route still refuses requests after %v", time.Since(changedAt))
 		}
-		if mustBeInForce && !hasRoute && o.Result == stub.Answered {
+		if (mustBeInForce || inForce && unchanged) && !hasRoute && o.Result == stub.Answered {
 			t.recordFinding("a removed route still answers requests after %v", time.Since(changedAt))
 		}
 		time.Sleep(probeInterval)
@@ -239,6 +245,9 @@
 	h.mu.Lock()
 	starts := h.starts
 	h.mu.Unlock()
+	t.mu.Lock()
+	inForce := uint64(t.versionInForce)
+	t.mu.Unlock()
 	version, err := versionInForce(client, h)
 	if err != nil {
 		return
@@ -251,6 +260,9 @@
 	if version < h.lastVersion {
 		t.recordFinding("the document version of host %s decreased from %d to %d", h.name, h.lastVersion, version)
 	}
+	if version != 0 && version < inForce {
+		t.recordOnce(fmt.Sprintf("%s-%d", h.name, starts), "host %s has the document version %d, although %d was in force before", h.name, version, inForce)
+	}
 	h.lastVersion = version
 }
 
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,19 +32,40 @@
 	Duration time.Duration
 	// Hosts, Servers and Callers are the numbers of each.
 	Hosts, Servers, Callers int
+	// Faults are the names of the faults to inject; if it is empty, all are.
+	Faults []string
 	// Log receives a line for each fault and each finding.
 	Log io.Writer
 }
 
 const (
-	// localDataCentre is the data centre of the callers and the servers.
+	// localDataCentre is the data centre of the callers.
 	localDataCentre  = "sapporo"
 	remoteDataCentre = "yoichi"
 	// loneHostSeeds: in one of so many seeds, only one host is in the callers' data
 	// centre.
 	loneHostSeeds = 3
+	// limitSeeds: in one of so many seeds, the document sets no limit on cold
+	// servers.
+	limitSeeds = 4
+	// warmupDuration is the time for which a server is cold after its start, and
+	// coldSlowdown the factor on its processing time meanwhile.
+	warmupDuration = 2 * time.Second
+	coldSlowdown   = 1.6
+	// warmupRate is the number of requests per second that a cold server takes, if
+	// there is a limit: less than it gets without one. In any second a cold server
+	// may get warmupRate times warmupOverage and warmupSlack.
+	warmupRate    = 8
+	warmupOverage = 1.5
+	warmupSlack   = 5
+	// initialWarmup is the time after the start of the soak at which hosts take the
+	// first servers as warm, whose entries they may have read 0.5 s late.
+	initialWarmup = warmupDuration + 500*time.Millisecond
 )
 
+// dataCentres are those of the servers.
+var dataCentres = []string{localDataCentre, remoteDataCentre, "otaru"}
+
 var (
 	entryDeskAddress      = netip.MustParseAddrPort("198.18.0.1:443")
 	cataloguePressAddress = netip.MustParseAddrPort("198.18.0.2:443")
@@ -56,30 +78,36 @@
 type testbed struct {
 	*stub.Platform
 	settings Settings
-	rng      *rand.Rand
+	// rng draws the choices of faults. It is guarded by mu.
+	rng *rand.Rand
 	// networkRand draws which datagrams are lost, and pausing is the caller that
-	// loses them.
-	networkRand *rand.Rand
-	pausing     *stub.Caller
-	dir         string
-	hosts       []*hostProcess
-	startedAt   time.Time
-	stopped     atomic.Bool
+	// loses them. bursting is the caller that sends bursts.
+	networkRand       *rand.Rand
+	pausing, bursting *stub.Caller
+	burstCount        atomic.Int64
+	dir               string
+	hosts             []*hostProcess
+	startedAt         time.Time
+	stopped           atomic.Bool
 
 	mu             sync.Mutex
 	servers        map[string]*testServer
 	serversCreated int
-	// freedAddresses lists the addresses of removed servers.
-	freedAddresses []freedAddress
-	// documentVersion is the version of the latest document, and
-	// hasOptionalRoute reports whether it has the route of optionalAddress.
+	// departed lists the keys of removed servers.
+	departed []string
+	// documentVersion is the version of the latest document, documentRoutes are its
+	// routes, and hasOptionalRoute reports whether it has the route of
+	// optionalAddress.
 	documentVersion        int
+	documentRoutes         []stub.Route
 	hasOptionalRoute       bool
 	optionalRouteChangedAt time.Time
 	// activeFaults is the number of active unplanned faults, and lastFaultChange
-	// is the time at which one last started or ended.
-	lastFaultChange time.Time
-	activeFaults    int
+	// is the time at which one last started or ended. contactFaults counts those
+	// with which hosts may be out of touch with the store.
+	lastFaultChange, lastContactChange time.Time
+	activeFaults, contactFaults        int
+	tracker
 	// lastServerLoss is the time at which a server was last removed, or the time
 	// at which the latest unresponsive server answers again.
 	lastServerLoss time.Time
@@ -87,6 +115,7 @@
 	// pause.
 	lastHostLoss time.Time
 	findings     []string
+	recorded     map[string]bool
 	resultCounts map[stub.Result]int
 	requestCount atomic.Int64
 	// restartMu is held while a host is down or paused, so that only one is at a
@@ -99,14 +128,9 @@
 	*stub.Server
 	address string
 	// leavingAt is the time at which the store listed the server as draining, or
-	// zero.
+	// zero. drain is nil until then.
 	leavingAt time.Time
-}
-
-// freedAddress is an address that a removed server of a service used.
-type freedAddress struct {
-	address, service string
-	freedAt          time.Time
+	drain     *order
 }
 
 // hostProcess is the process of a host and its proxy to the store.
@@ -127,7 +151,7 @@
 func newTestbed(settings Settings) (*testbed, error) {
 	t := &testbed{
 		settings: settings, rng: rand.New(rand.NewPCG(settings.Seed, 1)), networkRand: rand.New(rand.NewPCG(settings.Seed, 3)), startedAt: time.Now(),
-		servers: map[string]*testServer{}, resultCounts: map[stub.Result]int{},
+		servers: map[string]*testServer{}, resultCounts: map[stub.Result]int{}, recorded: map[string]bool{}, tracker: newTracker(),
 	}
 	var err error
 	if t.dir, err = os.MkdirTemp("", "soak"); err != nil {
@@ -136,7 +160,7 @@
 	if t.Platform, err = stub.StartPlatform(byte(20 + settings.Seed%200)); err != nil {
 		return nil, err
 	}
-	if err := t.startPausingCaller(); err != nil {
+	if err := t.startCallers(); err != nil {
 		return nil, err
 	}
 	t.Ledger.OnSYN(t.checkNewFlow)
@@ -146,7 +170,7 @@
 		if i%4 == 3 {
 			service = "catalogue-press"
 		}
-		if err := t.addServer(service, ""); err != nil {
+		if err := t.addServer(service, dataCentres[i%len(dataCentres)], ""); err != nil {
 			return nil, err
 		}
 	}
@@ -160,7 +184,7 @@
 
 // addServer starts a server and registers it. If address is empty, the server
 // gets an address that no server has used.
-func (t *testbed) addServer(service, address string) error {
+func (t *testbed) addServer(service, dataCentre, address string) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.serversCreated++
@@ -168,7 +192,8 @@
 		address = t.ServerAddress(t.serversCreated)
 	}
 	s := &testServer{address: address, Server: &stub.Server{
-		ID: fmt.Sprintf("i-%02x%06x", t.settings.Seed%256, t.serversCreated), Service: service, DataCentre: localDataCentre, Slots: 3, DropSYNACK: t.losesSYNACK,
+		ID: fmt.Sprintf("i-%02x%06x", t.settings.Seed%256, t.serversCreated), Service: service, DataCentre: dataCentre, Slots: 3, DropSYNACK: t.losesSYNACK,
+		Warmup: warmupDuration, ColdSlowdown: coldSlowdown,
 	}}
 	if err := t.AddServer(s.Server, address); err != nil {
 		return err
@@ -184,16 +209,31 @@
 	defer t.mu.Unlock()
 	t.documentVersion += 1 + t.rng.IntN(3)
 	routes := []stub.Route{
-		{Address: entryDeskAddress, Service: "entry-desk", Kind: "safe", Timeout: 1500 * time.Millisecond, Objective: 60 * time.Millisecond},
+		{Address: entryDeskAddress, Service: "entry-desk", Kind: "safe", Priority: 1, Timeout: 1500 * time.Millisecond, Objective: 60 * time.Millisecond},
 		{Address: cataloguePressAddress, Service: "catalogue-press", Kind: "unsafe"},
 	}
 	if withOptionalRoute {
 		routes = append(routes, stub.Route{Address: optionalAddress, Service: "entry-desk"})
 	}
-	t.PutDocument(t.documentVersion, append(routes, more...)...)
+	for i := range routes {
+		routes[i].Warmup, routes[i].WarmupRate = warmupDuration, t.coldLimit()
+	}
+	t.documentRoutes = append(routes, more...)
+	t.PutDocument(t.documentVersion, t.documentRoutes...)
+	t.pendingVersions[t.documentVersion] = newOrder(maxConfigDelay)
 	if withOptionalRoute != t.hasOptionalRoute {
-		t.hasOptionalRoute, t.optionalRouteChangedAt = withOptionalRoute, time.Now()
+		t.hasOptionalRoute, t.optionalRouteChangedAt, t.optionalRoute = withOptionalRoute, time.Now(), newOrder(maxConfigDelay)
+	}
+}
+
+// coldLimit returns the requests per second that the document allows for a cold
+// server, 0 for no limit.
+func (t *testbed) coldLimit() float64 {
+	selected := len(t.settings.Faults) == 0 || slices.Contains(t.settings.Faults, coldReleases)
+	if !selected || t.settings.Seed%limitSeeds == 0 {
+		return 0
 	}
+	return warmupRate
 }
 
 // addHost writes the settings of a host, adds the host to the routers and starts
@@ -212,6 +252,7 @@
 	settings := setup.Settings{Name: p.name, DataCentre: dataCentre, Marked: &setup.Marked{
 		Packets: addresses.Packets.String(), Ready: addresses.Ready.String(), Peer: addresses.Peer.String(), Admin: p.admin,
 		Store: p.proxy.address(), Seeds: []string{t.HostAddresses(1).Peer.String()},
+		WarmupOverage: warmupOverage, WarmupSlack: warmupSlack,
 	}}
 	data, err := json.Marshal(&settings)
 	if err != nil {
@@ -269,5 +310,6 @@
 		s.Crash()
 	}
 	t.pausing.Close()
+	t.bursting.Close()
 	t.Platform.Close()
 }
