--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -8,8 +8,13 @@
 	"lagoonramp.org/lagoonramp/platform/stub"
 )
 
-// evacuate evacuates some data centres for maxEvacuationDelay and a further duration,
-// runs other faults meanwhile, and ends the evacuation.
+// minEvacuationCheck is the minimum time for which an evacuation lasts once it is in
+// force.
+const minEvacuationCheck = 1500 * time.Millisecond
+
+// evacuate evacuates some data centres until the evacuation has been in force for
+// minEvacuationCheck and a further duration, runs other faults meanwhile, and ends
+// the evacuation.
 func (t *testbed) evacuate(count int, d time.Duration, meanwhile ...func()) {
 	first := t.randomIntN(len(dataCentres))
 	t.mu.Lock()
@@ -23,7 +28,7 @@
 	for _, f := range meanwhile {
 		group.Go(f)
 	}
-	time.Sleep(maxEvacuationDelay + d)
+	time.Sleep(maxEvacuationDelay + minEvacuationCheck + d)
 	group.Wait()
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -16,6 +16,11 @@
 	// maxRewriteDelay is the maximum time after which operators and servers write
 	// again what a restored store has lost.
 	maxRewriteDelay = 1500 * time.Millisecond
+	// lostWrites is the number of writes that a restored store has lost, so that the
+	// revisions that it assigns again stay below the earlier ones for long.
+	lostWrites = 400
+	// noteKey is the key of these writes, in which hosts have no interest.
+	noteKey = "op/note"
 )
 
 // copyStore copies the store and returns a function that restores it from the copy.
@@ -24,7 +29,7 @@
 
 // restoreStore copies the store, changes the document, runs other faults, and restores
 // the store from the copy after the duration age. Operators and servers then write
-// again what was lost.
+// again what was lost, and operators a new document.
 func (t *testbed) restoreStore(age time.Duration, meanwhile ...func()) {
 	if copyStore == nil {
 		t.logf("the store cannot be restored")
@@ -32,6 +37,9 @@
 	}
 	restore := copyStore(t.Store)
 	t.writeDocument(!t.optionalRouteExists())
+	for range lostWrites {
+		t.Store.Put(noteKey, nil)
+	}
 	var group sync.WaitGroup
 	for _, f := range meanwhile {
 		group.Go(f)
@@ -44,6 +52,7 @@
 		time.Sleep(maxRewriteDelay * time.Duration(t.randomIntN(100)) / 100)
 		t.rewriteStore()
 	})
+	t.writeDocument(!t.optionalRouteExists())
 	group.Wait()
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -240,7 +240,7 @@
 }
 
 // checkVersion compares the document version in force on a host with the last one
-// seen since its start. It ignores hosts that do not answer.
+// seen since its start, and with the last one that was in force on all hosts. It ignores hosts that do not answer.
 func (t *testbed) checkVersion(client *http.Client, h *hostProcess) {
 	h.mu.Lock()
 	starts := h.starts
@@ -257,15 +257,25 @@
 	if starts != h.starts {
 		return
 	}
-	if version < h.lastVersion {
-		t.recordFinding("the document version of host %s decreased from %d to %d", h.name, h.lastVersion, version)
-	}
-	if version != 0 && version < inForce {
-		t.recordOnce(fmt.Sprintf("%s-%d", h.name, starts), "host %s has the document version %d, although %d was in force before", h.name, version, inForce)
+	if violation := versionViolation(version, h.lastVersion, inForce); violation != "" {
+		t.recordOnce(fmt.Sprintf("%s-%d-%d", h.name, starts, version), "host %s: %s", h.name, violation)
 	}
 	h.lastVersion = version
 }
 
+// versionViolation returns which guarantee a host violates whose document has a
+// version, after it had the version last and after the version inForce was in force
+// on all hosts. A host that has just started has no document, which is version 0.
+func versionViolation(version, last, inForce uint64) string {
+	switch {
+	case version < last:
+		return fmt.Sprintf("the document version decreased from %d to %d", last, version)
+	case version != 0 && version < inForce:
+		return fmt.Sprintf("the document version is %d, although %d was in force before", version, inForce)
+	}
+	return ""
+}
+
 // versionInForce returns the document version in force on a host.
 func versionInForce(client *http.Client, h *hostProcess) (uint64, error) {
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.admin+"/api/status", nil)
