--- a/internal/soak/orders.go
+++ b/internal/soak/orders.go
@@ -55,12 +55,16 @@
 	versionInForce  int
 	// optionalRoute is the latest addition or removal of the optional route.
 	optionalRoute *order
-	// lastShortage is the time at which a service last had no warm server.
-	lastShortage map[string]time.Time
+	// lastShortage is the time at which a service last had no warm server, and
+	// lastUsable that at which it last had a server whose evacuation is not in force.
+	lastShortage, lastUsable map[string]time.Time
 }
 
 func newTracker() tracker {
-	return tracker{evacuations: map[string]*order{}, pendingVersions: map[int]*order{}, optionalRoute: newOrder(maxConfigDelay), lastShortage: map[string]time.Time{}}
+	return tracker{
+		evacuations: map[string]*order{}, pendingVersions: map[int]*order{}, optionalRoute: newOrder(maxConfigDelay),
+		lastShortage: map[string]time.Time{}, lastUsable: map[string]time.Time{},
+	}
 }
 
 // orderLoop observes orders and servers until the end of the soak.
@@ -94,14 +98,18 @@
 	}
 }
 
-// observeServers records which services have no warm server for new flows. The
+// observeServers records which services have servers for new flows, and warm ones. The
 // caller holds t.mu.
 func (t *testbed) observeServers(now time.Time) {
 	warm := map[string]bool{}
 	for _, s := range t.servers {
-		if s.leavingAt.IsZero() && t.evacuations[s.DataCentre] == nil && !s.IsCold(now) {
+		evacuation := t.evacuations[s.DataCentre]
+		if s.leavingAt.IsZero() && evacuation == nil && !s.IsCold(now) {
 			warm[s.Service] = true
 		}
+		if evacuation == nil || !evacuation.inForce {
+			t.lastUsable[s.Service] = now
+		}
 	}
 	for _, service := range serviceOf {
 		if !warm[service] {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -182,6 +182,7 @@
 	t.mu.Lock()
 	t.resultCounts[o.Result]++
 	serverLost := t.lastServerLoss.After(openedAt.Add(-time.Second))
+	hadNoServer := t.isQuiet() && t.lastUsable[serviceOf[address]].Before(openedAt)
 	quiet := t.isQuiet() && !t.lastShortage[serviceOf[address]].After(openedAt.Add(-shortageGrace))
 	t.mu.Unlock()
 	switch {
@@ -195,6 +196,8 @@
 		t.recordFinding("request %s ran, but its caller got the result %s", id, o.Result)
 	case o.Result == stub.Broken && !serverLost:
 		t.recordFinding("the flow of request %s broke although no server was lost: %s", id, o.Detail)
+	case hadNoServer && (o.Result == stub.NotOpened || o.Result == stub.TimedOut):
+		t.recordFinding("request %s was %s rather than refused, although its service had no server", id, o.Result)
 	case quiet && !serverLost && (o.Result == stub.TimedOut || o.Result == stub.NotOpened || (o.Result == stub.Refused && address != optionalAddress)):
 		t.recordFinding("request %s was %s although no unplanned fault was active", id, o.Result)
 	case o.Result == stub.Broken && address == cataloguePressAddress:
