--- a/.ci/mutants.sh
+++ b/.ci/mutants.sh
@@ -40,7 +40,8 @@
 mutant "marks forgotten" pkg/steer/observe.go "	s := t.view.ServersByMark[m]
 	if s == nil {" "	s := t.chooseServer(0, t.view.ServersByMark[m].Service, nil)
 	if s == nil {"
-mutant "leaving ignored" pkg/fleet/builder.go "	if r.server.State != Ready ||" "	if"
+mutant "leaving ignored" pkg/fleet/builder.go "	if r.server.State != Ready ||" "	if" \
+  "drain\|draining" "replace a server" "release cold servers" "stop a host" "change the document"
 mutant "evacuated ignored" pkg/fleet/builder.go " || b.evacuated[r.server.DataCentre] {" " {" \
   "evacuation of its data centre" "evacuate a data centre" "evacuate while hosts restart" "stop a host" "replace a server"
 mutant "view never changes" internal/marked/control.go "	if changed {
