Refuse no retransmitted SYN of an evacuated service

Cause: with all data centres of a service evacuated, a SYN that first went to another host was refused when its retransmission arrived here. Change: such a retransmission is dropped. Without evacuations nothing changes. Result: TestHeldSYNIsRefusedWhenAllAreEvacuated fails before and passes after.

--- a/pkg/steer/coldserver.go
+++ b/pkg/steer/coldserver.go
@@ -208,6 +208,9 @@
 		if t.view.Incomplete {
 			return Verdict{Reason: NoServer} // A retransmission may find one.
 		}
+		if p.Retransmits > 0 && t.view.EvacuatedServices[service] {
+			return Verdict{Reason: NoServer} // Another host may have opened the flow before the evacuation.
+		}
 		return Verdict{Action: Refuse, Reason: NoServer, Priority: route.Priority}
 	}
 	if turns <= counts.deferred || len(t.flows) >= t.settings.MaxFlows || len(raw) > maxSYNSize {
--- a/pkg/steer/evacuation_test.go
+++ b/pkg/steer/evacuation_test.go
@@ -15,12 +15,13 @@
 // withEvacuated returns a copy of a view in which some data centres are evacuated.
 func withEvacuated(v *fleet.View, dataCentres ...string) *fleet.View {
 	out := *v
-	out.Usable, out.Evacuated = map[string][]*fleet.Server{}, map[string]bool{}
+	out.Usable, out.Evacuated, out.EvacuatedServices = map[string][]*fleet.Server{}, map[string]bool{}, map[string]bool{}
 	for _, d := range dataCentres {
 		out.Evacuated[d] = true
 	}
 	for service, servers := range v.Usable {
 		out.Usable[service] = slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return out.Evacuated[s.DataCentre] })
+		out.EvacuatedServices[service] = len(out.Usable[service]) == 0
 	}
 	return &out
 }
@@ -118,6 +119,8 @@
 	is.Equal(table.testResendAll(time.Second), nil)
 	is.Equal(table.FlowCount(), 0)
 	is.Equal(table.testSYN(20*ms, 3, 0), Verdict{Action: Refuse, Reason: NoServer})
+	// Another host may have opened flow 4 at a server that still runs.
+	is.Equal(table.testSYN(20*ms, 4, 1), Verdict{Reason: NoServer})
 }
 
 // TestEvacuatedServersAreNoReferences guards against probes that are inconclusive
