Keep held SYNs that the share of their route releases in time

Cause: a SYN was refused early if more SYNs of all routes were held than can be released in time. Below a burst of an urgent priority, each SYN of a less urgent one was refused as soon as it was held, although one release in eight is theirs, so that none of them was released. The same hit a small route beside a large one whose oldest SYNs may not be refused. Change: Order.routeShare is the least share of the releases that a route gets; a SYN is hopeless only if its route also holds more than this share releases in time.

--- a/pkg/steer/admission_test.go
+++ b/pkg/steer/admission_test.go
@@ -196,7 +196,9 @@
 
 // TestEvictions checks when a SYN of the less urgent of two routes is refused
 // before the end of its hold. 20 SYNs are held, the oldest two of which are
-// of that route, and 2 can be released in the time.
+// of that route, and 2 can be released in the time. One release in eight is for that
+// route: at 48 releases per second, both are released in time, although more than can
+// be released precede them.
 func TestEvictions(t *testing.T) {
 	const now = 300 * ms
 	for _, c := range []struct {
@@ -216,6 +218,8 @@
 		{"none before the releases are measured", func(_ *Table, l *limiter) { l.releases.complete = 1 }, nil},
 		{"none that can be released in time", func(_ *Table, l *limiter) { l.releases.rates[1] = 100 }, nil},
 		{"none that another host may have opened", func(table *Table, _ *limiter) { table.flows[key(0)].synsSeen = -1 }, []Key{key(1)}},
+		{"one if the share of its route suffices for the other", func(_ *Table, l *limiter) { l.releases.rates[1] = 24 }, []Key{key(0)}},
+		{"none if the share of their route suffices for both", func(_ *Table, l *limiter) { l.releases.rates[1] = 48 }, nil},
 		{"none whose retransmission is due", func(table *Table, _ *limiter) { table.flows[key(1)].nextSYNAt = now + refusalMargin }, []Key{key(0)}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/steer/excess.go
+++ b/pkg/steer/excess.go
@@ -91,10 +91,11 @@
 }
 
 // isHopeless reports whether many more SYNs are held than can be released, at rate
-// per second, before the hold of the flow ends. The flow must be one that the
-// others precede.
+// per second, before the hold of the flow ends, and more of its route than the share
+// of that. The flow must be one that the others precede.
 func (l *limiter) isHopeless(now time.Duration, f *flow, rate float64) bool {
 	preceding := l.held.Len() - 1
-	releasable := rate * (f.holdDeadline - now).Seconds()
-	return preceding >= minEvictionBacklog && float64(preceding) > evictionMargin*releasable
+	releasable := evictionMargin * rate * (f.holdDeadline - now).Seconds()
+	return preceding >= minEvictionBacklog && float64(preceding) > releasable &&
+		float64(f.held.route.count) > releasable*l.held.routeShare(&f.held)
 }
--- a/pkg/steer/order.go
+++ b/pkg/steer/order.go
@@ -253,6 +253,21 @@
 	return cmp.Or(h.route.count-other.route.count, h.caller.count-other.caller.count) > 0
 }
 
+// routeShare returns the least share of the releases that the route of a held SYN
+// gets in its stage while as many priorities and routes compete as now.
+func (o *Order[T]) routeShare(h *HeldSYN[T]) float64 {
+	if h.stage == overdueStage && h.class.stages[freshStage].count() > 0 {
+		return 0
+	}
+	share := 1 / float64(h.class.stages[h.stage].count())
+	for _, c := range o.classes {
+		if c.priority < h.Priority && c.count > 0 {
+			share /= lowerInterval
+		}
+	}
+	return share
+}
+
 // classOf returns the class of a priority.
 func (o *Order[T]) classOf(priority int) *priorityClass[T] {
 	i, found := slices.BinarySearchFunc(o.classes, priority, func(c *priorityClass[T], p int) int { return c.priority - p })
