End reports of unseen mark challengers with the learning time

Cause: a started host adopts from a peer which server holds a mark and whether another one challenges it. If its entries never show the other server, the report ends after 10 s, but only with the next view, and that was scheduled for two flow lifetimes after the challenge, or not at all. Without changes in the store, the only server with the mark got no new flows from this host for up to 2 min, or had no mark. Change: an update is due when the learning time ends. Result: TestReportWithoutChallengerEnds fails before (update due after 20 s of 10 s, never for the unseen holder) and passes after; pkg/mark and pkg/fleet pass.

--- a/pkg/mark/mark.go
+++ b/pkg/mark/mark.go
@@ -222,12 +222,21 @@
 func (t *Table) knowsHolders(now time.Duration) bool { return t.isInformed || !t.isLearning(now) }
 
 // scheduleChange lowers nextChange to the time at which the state of a holder changes
-// by itself.
+// by itself. What another host reported ends with the learning time if the entries do
+// not show it.
 func (t *Table) scheduleChange(now time.Duration, h holder) {
-	at := h.quietUntil
+	if h.isReported && t.isLearning(now) {
+		t.scheduleAt(now, t.startedAt+learningTime)
+	}
 	if h.challengedAt != never {
-		at = h.challengedAt + holdLifetimes*t.lifetime
+		t.scheduleAt(now, h.challengedAt+holdLifetimes*t.lifetime)
+		return
 	}
+	t.scheduleAt(now, h.quietUntil)
+}
+
+// scheduleAt lowers nextChange to a time, unless that has passed.
+func (t *Table) scheduleAt(now, at time.Duration) {
 	if at > now && (t.nextChange == 0 || at < t.nextChange) {
 		t.nextChange = at
 	}
--- a/pkg/mark/mark_test.go
+++ b/pkg/mark/mark_test.go
@@ -171,6 +171,23 @@
 	}
 }
 
+// TestReportWithoutChallengerEnds guards against a server without new flows for two
+// flow lifetimes because another host reported a challenger, or a holder, that the
+// started host never sees. NextChange must ask for an update when it has learned.
+func TestReportWithoutChallengerEnds(t *testing.T) {
+	for _, reported := range []Holding{{ID: "a", ChallengedFor: 1}, {ID: "b"}} {
+		is := is.New(t)
+		table := newTestTable()
+		table.Adopt(0, Report{Known: true, Holdings: []Holding{reported}})
+		alone := []Claim{claim("a", 5)}
+		table.Update(0, alone)
+		is.True(!table.AcceptsFlows(0, "a"))
+		is.Equal(table.NextChange(), learningTime)
+		table.Update(learningTime, alone)
+		is.Equal(table.Holder(7), "a")
+	}
+}
+
 func ExampleTable() {
 	t := NewTable(time.Minute)
 	marks := t.Update(0, []Claim{{ID: "i-7f3a"}})
