Build a view with the mark holders that a peer reports

Cause: a started host that fetched only holders of marks from a peer adopted them without building a view. Until the next change in the store, its view resolved the mark by its own entries, possibly to another server than on all other hosts. Change: RetainedState.IsEmpty counts holders. Result: TestMarkHoldersAreRetainedState fails before and passes after.

--- a/pkg/fleet/retained.go
+++ b/pkg/fleet/retained.go
@@ -23,9 +23,9 @@
 	Marks mark.Report `json:"marks,omitzero"`
 }
 
-// IsEmpty reports whether r contains nothing.
+// IsEmpty reports whether r contains nothing that can change a view.
 func (r *RetainedState) IsEmpty() bool {
-	return len(r.Servers)+len(r.Targets)+len(r.SinceEvacuation) == 0
+	return len(r.Servers)+len(r.Targets)+len(r.SinceEvacuation)+len(r.Marks.Holdings) == 0
 }
 
 // DepartedServer is a server whose entry disappeared from the store.
--- a/pkg/fleet/retained_test.go
+++ b/pkg/fleet/retained_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoonramp.org/lagoonramp/pkg/mark"
 )
 
 // restartedBuilder returns a new Builder that received the retained state of from
@@ -91,3 +93,14 @@
 	is.Equal(len(v.ServersByMark), 1)
 	is.Equal(v.Usable["desk"][0].Address, a.Address)
 }
+
+// TestMarkHoldersAreRetainedState guards against a started host that fetches the
+// holders of marks and does not build a view with them: its packets would go to the
+// server that its own entries prefer.
+func TestMarkHoldersAreRetainedState(t *testing.T) {
+	is := is.New(t)
+	none := RetainedState{Marks: mark.Report{Known: true}}
+	is.True(none.IsEmpty())
+	holdings := RetainedState{Marks: mark.Report{Known: true, Holdings: []mark.Holding{{ID: "a"}}}}
+	is.True(!holdings.IsEmpty())
+}
