Send SYNs that the link admits after those that precede them

Cause: a SYN that waited for the host's link was sent as soon as the limiter of its service had room, ahead of more urgent SYNs that the limiter held. Change: it joins them unless it may pass them, like a new SYN. Result: TestLinkReleasesAfterUrgentSYNs fails before and passes after; pkg/steer passes. Without marked.linkMbps nothing changes.

--- a/pkg/steer/link.go
+++ b/pkg/steer/link.go
@@ -176,8 +176,8 @@
 }
 
 // nextFromLink returns a SYN that the link admits now and the limiter of its service
-// too; ok is false if there is none. A SYN that the limiter does not admit is held
-// there.
+// too; ok is false if there is none. A SYN that the limiter does not admit, or that
+// others precede there, is held there.
 func (t *Table) nextFromLink(now time.Duration) (Resend, bool) {
 	if t.linkQueue.Len() == 0 {
 		return Resend{}, false
@@ -190,8 +190,11 @@
 		}
 		f := h.Owner
 		f.heldByLink = false
-		if l := t.limiter(f.service); l.isFull(f.overdue) {
-			l.heldInWindow = true
+		l := t.limiter(f.service)
+		isFull := l.isFull(f.overdue)
+		if isFull || !l.held.MayPass(h, f.overdue) {
+			l.heldInWindow = l.heldInWindow || isFull
+			l.evictionPending = true
 			t.enqueue(now, f)
 			continue
 		}
--- a/pkg/steer/link_test.go
+++ b/pkg/steer/link_test.go
@@ -159,3 +159,26 @@
 		is.Equal(table.linkQueue.Len(), 0)
 	}
 }
+
+// TestLinkReleasesAfterUrgentSYNs guards against a SYN that waited for the link and
+// is sent ahead of more urgent ones that wait for the limiter of the service.
+func TestLinkReleasesAfterUrgentSYNs(t *testing.T) {
+	is := is.New(t)
+	table := newOverloadedTable(1)
+	upload := *table.view.Routes[routeAddress]
+	upload.Priority = 1
+	table.view.Routes[urgentKey(2).Service] = &upload
+	table.testSYNTransmission(0, 1, 0)
+	table.link.setRate(1000)
+	table.link.recordFlow(0, urgentKey(2).Service)
+	table.link.recordPacket(0, urgentKey(2).Service, 1000)
+	is.Equal(table.HandlePacket(ms, &Packet{Key: urgentKey(2), SYN: true, UntilNext: 200 * ms}, rawSYN).Action, Hold)
+	is.Equal(table.linkQueue.Len(), 1)
+	l := table.limiter("desk")
+	l.limit, l.inFlight, l.slotShare = 50, 49, 50 // Room for one.
+	table.link.setRate(0)
+	r, ok := table.NextResend(10 * ms)
+	is.True(ok)
+	is.Equal(r.Key, key(1))
+	is.Equal(l.held.Len()+table.linkQueue.Len(), 1)
+}
