Keep evacuations of a read in progress when older state of a peer arrives

Cause: a host that had read the evacuations with the first part of its read dropped them when a peer that was cut off sent older state, and ignored later parts, until the read ended. Change: evacuations of the parts that are newer than the replica are applied to it; its revision stays, so the other changes still come with the read or a watch. Only evacuations are taken, so that the parts cause no view each.

--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -156,6 +156,7 @@
 		c.host.log.Warn("control: update not applied", zap.String("source", u.source), zap.Error(err))
 		return
 	}
+	c.applyEvacuations(now, c.previewItems)
 	if changed {
 		c.peers.addRecords(now, u.delta.Items)
 		c.buildView(now)
@@ -168,33 +169,6 @@
 	}
 }
 
-// addPreview adds a part of the first snapshot, so that a host can serve before
-// it has read the whole. This matters after a restart of all hosts, which then
-// read the store at the same time.
-func (c *control) addPreview(items []mirror.Item) {
-	if c.replica.Loaded() {
-		return
-	}
-	c.previewItems = append(c.previewItems, items...)
-	c.previewParts++
-	if c.previewParts >= minPreviewParts {
-		c.buildView(c.host.now())
-	}
-}
-
-// forEachItem calls f for each item of the replica or, until it is loaded, of
-// the preview.
-func (c *control) forEachItem(f func(mirror.Item)) {
-	if c.replica.Loaded() {
-		c.previewItems = nil
-		c.replica.ForEachItem(f)
-		return
-	}
-	for _, i := range c.previewItems {
-		f(i)
-	}
-}
-
 // incrementalItems returns the items of a delta that peers may apply, or nil
 // for a snapshot: its items do not include all deletions, so peers have to
 // fetch the state.
--- a/internal/marked/fuzz_test.go
+++ b/internal/marked/fuzz_test.go
@@ -41,6 +41,14 @@
 
 // newFuzzControl returns the control loop of a host with a document and a server.
 func newFuzzControl(t *testing.T) *control {
+	t.Helper()
+	c := newEmptyControl(t)
+	c.applyUpdate(oldState())
+	return c
+}
+
+// newEmptyControl returns the control loop of a host that knows no state yet.
+func newEmptyControl(t *testing.T) *control {
 	t.Helper()
 	p, c := newTestPeers(t, 1)
 	p.host.settings.Decoder = platform.Decoder{}
@@ -48,11 +56,15 @@
 	c.decoded = map[string]decodedServer{}
 	c.builder = fleet.NewBuilder(fleet.Settings{})
 	c.rebuildTimer = time.NewTimer(time.Hour)
-	c.applyUpdate(update{delta: &mirror.Delta{Snapshot: true, Revision: 2, Items: []mirror.Item{
+	return c
+}
+
+// oldState is the state of a peer with a document and a server, at revision 2.
+func oldState() update {
+	return update{delta: &mirror.Delta{Snapshot: true, Revision: 2, Items: []mirror.Item{
 		{Key: "op/config", Revision: 1, Value: stub.Document(1, stub.Route{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "desk"})},
 		{Key: "servers/i-1", Revision: 2, Value: stub.Entry("desk", netip.MustParseAddrPort("10.0.0.9:80"), "a", 1, "ready", 1)},
-	}}})
-	return c
+	}}}
 }
 
 // checkView checks that packets can be sent to each server of the view, and that the
