--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -271,7 +271,7 @@
 }
 
 // decodeItem decodes an item. It adds a server to servers, and makes a valid
-// document that is not older the current one. A server's item is decoded once
+// document that is not older than the current one. A server's item is decoded once
 // per revision.
 func (c *control) decodeItem(i mirror.Item, servers map[string]*fleet.Server) {
 	if d, ok := c.decoded[i.Key]; ok && d.revision == i.Revision {
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -28,8 +28,8 @@
 	// UpFor is the time since the replying host started.
 	UpFor         time.Duration       `json:"upFor"`
 	RetainedState fleet.RetainedState `json:"remnants"`
-	// KnownHosts are the hosts that are known, including lost ones, since the store has the
-	// records of a few hosts only.
+	// KnownHosts are the hosts that are known, including lost ones, since the store
+	// has the records of a few hosts only.
 	KnownHosts []knownHost `json:"known,omitempty"`
 	// ForgottenHosts are the IDs of hosts of the asking host's data centre that the
 	// replying host has forgotten.
--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -17,7 +16,6 @@
 	"lagoonramp.org/lagoonramp/internal/batch"
 	"lagoonramp.org/lagoonramp/pkg/fleet"
 	"lagoonramp.org/lagoonramp/pkg/steer"
-	"lagoonramp.org/lagoonramp/pkg/warmup"
 )
 
 // Codec parses and modifies the packets of flows.
@@ -57,19 +55,11 @@
 	discardInterval = time.Second
 	// startupReroutingWindow is the time after the start of a host, and
 	// joinReroutingWindow the time after another host became ready to which
-	// routers may move flows, in which a missing answer may mean that they did. Routers need up to half a second to detect a ready host, and
-	// hosts that lost power together return within a second.
+	// routers may move flows, in which a missing answer may mean that they did.
+	// Routers need up to half a second to detect a ready host, and hosts that lost
+	// power together return within a second.
 	startupReroutingWindow = 1500 * time.Millisecond
 	joinReroutingWindow    = 800 * time.Millisecond
-	// maxRefusalViewAge is the maximum age of the view for refusing a flow, except
-	// because of overload.
-	maxRefusalViewAge = 3 * time.Second
-	// maxViewWait is the time after a long pause for which new flows wait for a view
-	// that is confirmed to be current. After that, the store and the other hosts are
-	// not reachable, and the known view stays in force. awaitViewInterval is the
-	// interval at which the traffic loop checks for the view.
-	maxViewWait       = time.Second
-	awaitViewInterval = 20 * time.Millisecond
 	// leavingHoldDown is longer than a host takes to leave.
 	leavingHoldDown = time.Hour
 )
@@ -111,9 +101,9 @@
 	// host that has become ready.
 	reroutingEnd atomic.Int64
 	// batchStale is set if the packets of the current batch may have arrived
-	// while the process was paused, or if the view may lack an evacuation since. Their SYNs are dropped: the caller may have
-	// opened the flow through another host in the meantime, and a second server
-	// would break it.
+	// while the process was paused, or if the view may lack an evacuation since.
+	// Their SYNs are dropped: the caller may have opened the flow through another
+	// host in the meantime, and a second server would break it.
 	batchStale bool
 	// pauseCount is the number of pauses of the process. inBacklog is set from a
 	// pause until the socket has been read empty.
@@ -145,8 +135,8 @@
 	// nextPinAnnounce is the earliest time at which all pins may be handed over
 	// again.
 	nextPinAnnounce time.Duration
-	// serverReports, serviceReports and coldReports are the latest reports of the table. They
-	// are updated with the first batch after nextReport.
+	// serverReports, serviceReports and coldReports are the latest reports of the
+	// table. They are updated with the first batch after nextReport.
 	serverReports  atomic.Pointer[[]steer.ServerReport]
 	serviceReports atomic.Pointer[[]steer.ServiceReport]
 	coldReports    atomic.Pointer[[]steer.ColdReport]
@@ -309,16 +299,21 @@
 	t.counters.Unsent.Store(t.writer.Failed)
 	t.counters.Flows.Store(uint64(t.table.FlowCount()))
 	if now >= t.nextReport {
-		t.nextReport = now + reportInterval
-		r := t.table.ServerReports(now)
-		t.serverReports.Store(&r)
-		services := t.table.ServiceReports()
-		t.serviceReports.Store(&services)
-		cold := t.table.ColdReports(now)
-		t.coldReports.Store(&cold)
+		t.updateReports(now)
 	}
 }
 
+// updateReports updates the reports for operators.
+func (t *traffic) updateReports(now time.Duration) {
+	t.nextReport = now + reportInterval
+	servers := t.table.ServerReports(now)
+	t.serverReports.Store(&servers)
+	services := t.table.ServiceReports()
+	t.serviceReports.Store(&services)
+	cold := t.table.ColdReports(now)
+	t.coldReports.Store(&cold)
+}
+
 // updateTable passes the received pins, the times of expected rerouting, the latest
 // view and the results of probes to the table.
 func (t *traffic) updateTable(now time.Duration) {
@@ -349,36 +344,6 @@
 	t.current = p
 }
 
-// detectPause makes the host feed no cold servers for a time after a pause, since
-// what it knows of other hosts may be old.
-func (t *traffic) detectPause(now time.Duration) {
-	if n := t.clock.heartbeat(now); n != t.feedingPauses {
-		t.feedingPauses = n
-		t.table.HoldDown(now + warmup.HoldDown)
-	}
-}
-
-// detectStale decides whether a batch of n packets may have arrived while the
-// process was paused. This holds from a pause up to the first batch that is not
-// full, since that batch empties the socket.
-func (t *traffic) detectStale(now time.Duration, n int) {
-	if p := t.clock.heartbeat(now); p != t.pauseCount {
-		t.pauseCount = p
-		t.inBacklog = true
-	}
-	t.batchStale = t.inBacklog || t.awaitsView(now)
-	if n < batch.Size {
-		t.inBacklog = false
-	}
-}
-
-// awaitsView reports whether the process has been paused for so long that the view
-// may lack an evacuation, and the view has not been confirmed since. New flows wait.
-func (t *traffic) awaitsView(now time.Duration) bool {
-	end := time.Duration(t.clock.longPauseEnd.Load())
-	return end > 0 && now < end+maxViewWait && t.current != nil && t.current.confirmedAt < end
-}
-
 // handlePacket handles a packet, which follows the space for a frame in framed.
 func (t *traffic) handlePacket(now time.Duration, framed []byte) {
 	frameLength := t.codec.FrameLength()
@@ -450,92 +415,4 @@
 	t.counters.Forwarded.Add(1)
 }
 
-// refusal is a flow that cannot be opened.
-type refusal struct {
-	key    steer.Key
-	reason steer.Reason
-	// priority is that of the route, and waited how long the SYN was held. evicted
-	// reports whether the hold ended early, because too many SYNs were held.
-	priority int
-	waited   time.Duration
-	evicted  bool
-	// linkFull reports whether the SYN waited for the host's link.
-	linkFull bool
-}
-
-// refuseFlow resets a flow that cannot be opened. If the view is too old to
-// tell that a route or a server does not exist, it drops the packet without an
-// answer, except in case of overload or evacuations of all servers.
-func (t *traffic) refuseFlow(now time.Duration, r refusal) {
-	isCertain := r.reason == steer.Overload || r.reason == steer.NoServer && t.current.view.IsEvacuated(r.key.Service)
-	if !isCertain && now-t.current.confirmedAt > maxRefusalViewAge {
-		t.counters.Dropped[r.reason].Add(1)
-		t.log.packetDropped(now, &steer.Packet{Key: r.key}, r.reason, t.current)
-		return
-	}
-	t.counters.Refused.Add(1)
-	if r.reason != steer.NoRoute {
-		t.counters.RefusedByPriority[min(r.priority, priorityCount-1)].Add(1)
-	}
-	t.log.flowRefused(now, r, t.current)
-	t.sendReset(r.key, 0)
-}
-
-// sendReset queues a reset of a flow for the next flush of the writer.
-func (t *traffic) sendReset(k steer.Key, sequence uint32) {
-	start := len(t.resetBuf)
-	if cap(t.resetBuf)-start < t.codec.MaxPacket() {
-		t.resetBuf = make([]byte, 0, batch.Size*t.codec.MaxPacket())
-		start = 0
-	}
-	t.resetBuf = t.codec.AppendReset(t.resetBuf, k, sequence)
-	to := netip.AddrPortFrom(k.Caller.Addr(), uint16(t.conn.LocalAddr().(*net.UDPAddr).Port))
-	t.writer.Add(t.resetBuf[start:], to)
-}
-
-// resendSYNs sends or refuses the stored SYNs that are due. It first handles the
-// queued packets, which may show that servers did answer.
-func (t *traffic) resendSYNs() {
-	for {
-		n, err := t.reader.Poll()
-		if err != nil || n == 0 {
-			break
-		}
-		t.handleBatch(n)
-	}
-	now := t.readClock()
-	t.detectPause(now)
-	t.updateTable(now)
-	t.sendDueSYNs(now)
-	t.resetUnreachable(now)
-	t.startProbes()
-}
-
-// sendDueSYNs sends or refuses the stored SYNs that are due at now.
-func (t *traffic) sendDueSYNs(now time.Duration) {
-	if t.awaitsView(now) {
-		return
-	}
-	frameLength := t.codec.FrameLength()
-	for {
-		r, ok := t.table.NextResend(now)
-		if !ok {
-			break
-		}
-		if r.Server == nil {
-			t.refuseFlow(now, refusal{key: r.Key, reason: r.Reason, priority: r.Priority, waited: r.Waited, evicted: r.Evicted, linkFull: r.LinkFull})
-			t.writer.Flush()
-			continue
-		}
-		t.resendBuf = append(t.resendBuf[:0], make([]byte, frameLength)...)
-		t.resendBuf = append(t.resendBuf, r.RawSYN...)
-		t.forward(t.resendBuf, r.Server)
-		t.writer.Flush()
-		t.counters.Resent.Add(1)
-		if r.Unresponsive != nil { // nil for a held SYN, which is only counted.
-			t.log.synResent(now, r.Key, r.Unresponsive, r.Server, t.current)
-		}
-	}
-}
-
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/pkg/steer/packet.go
+++ b/pkg/steer/packet.go
@@ -107,8 +107,8 @@
 	// has no state on the flow.
 	Tries int
 	// Priority is that of the route if the SYN is held or refused, and Waited how
-	// long the SYN of a flow that is refused was held.
-	// LinkFull reports whether the SYN waited for the host's link.
+	// long the SYN of a flow that is refused was held. LinkFull reports whether the
+	// SYN waited for the host's link.
 	Priority int
 	Waited   time.Duration
 	LinkFull bool
