Count the time in the control loop's queue in the age of a digest

Cause: the age of a digest was taken when it was read, and counted from when the control loop handled it. A digest that was read just before a pause of the process and handled after it made the view count as confirmed since the pause, so that new flows did not wait for it and could go to a data centre that was evacuated meanwhile. Change: the age is computed from the arrival when the digest is handled.

--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -357,8 +357,17 @@
 			p.host.rejectMessage(from.String(), err)
 			continue
 		}
-		now := p.host.now()
-		d.Age = min(max(0, d.Age), maxMessageAge) + now - p.host.clock.earliestArrival(now)
-		p.host.postToControl(func(c *control) { p.handleDigest(p.host.now(), &d, c) })
+		p.queueDigest(&d)
 	}
 }
+
+// queueDigest passes a digest that was just read to the control loop. The time until
+// that handles it adds to the age.
+func (p *peers) queueDigest(d *digest) {
+	arrivedAt := p.host.clock.earliestArrival(p.host.now())
+	p.host.postToControl(func(c *control) {
+		now := p.host.now()
+		d.Age = min(max(0, d.Age), maxMessageAge) + now - arrivedAt
+		p.handleDigest(now, d, c)
+	})
+}
--- a/internal/marked/peers_test.go
+++ b/internal/marked/peers_test.go
@@ -361,6 +361,22 @@
 	is.True(len(p.pendingBroadcasts) <= maxPendingBroadcasts)
 }
 
+// TestQueuedDigestIsOld guards against a view that counts as current because of a
+// digest that was received before a pause of the process and is handled after it.
+func TestQueuedDigestIsOld(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPeers(t, 1)
+	_, err := c.replica.ApplyDelta(0, &mirror.Delta{Snapshot: true, Revision: 7})
+	is.NoErr(err)
+	p.host.controlTasks = make(chan func(*control), 1)
+	p.queueDigest(&digest{From: "h1", DataCentre: "a", Address: "127.0.9.1:9", Revision: 7})
+	handle := <-p.host.controlTasks
+	received := p.host.now()
+	time.Sleep(20 * time.Millisecond)
+	handle(c)
+	is.True(c.replica.Age(received) >= 0)
+}
+
 func TestSetLimits(t *testing.T) {
 	is := is.New(t)
 	services := []wire.ServiceStatus{{Name: "desk"}, {Name: "press"}}
