--- a/internal/marked/control.go
+++ b/internal/marked/control.go
@@ -167,6 +167,7 @@
 	if version.Era > before.Era {
 		c.handleNewEra(now, before, u.source)
 	}
+	c.applyEvacuations(now, c.previewItems)
 	if changed {
 		c.peers.addRecords(now, u.delta.Items)
 		c.buildView(now)
@@ -179,37 +180,6 @@
 	}
 }
 
-// addPreview adds a part of the first snapshot, so that a host can serve before
-// it has read the whole. This matters after a restart of all hosts, which then
-// read the store at the same time.
-func (c *control) addPreview(items []mirror.Item) {
-	if c.replica.Loaded() || !c.restartPreview(items) {
-		return
-	}
-	c.previewItems = append(c.previewItems, items...)
-	c.previewParts++
-	if c.previewParts >= minPreviewParts {
-		c.buildView(c.host.now())
-	}
-}
-
-// forEachItem calls f for each item of the replica or, until it is loaded, of
-// the preview.
-func (c *control) forEachItem(f func(mirror.Item)) {
-	if c.replica.Loaded() {
-		c.previewItems = nil
-		c.replica.ForEachItem(f)
-		return
-	}
-	if c.replica.Remembers() {
-		c.replica.Preview(c.host.now(), c.previewItems).ForEachItem(f)
-		return
-	}
-	for _, i := range c.previewItems {
-		f(i)
-	}
-}
-
 // incrementalItems returns the items of a delta that peers may apply, or nil
 // for a snapshot: its items do not include all deletions, so peers have to
 // fetch the state. The era of the delta applies to the items.
@@ -318,7 +288,7 @@
 }
 
 // decodeItem decodes an item. It adds a server to servers, and makes a valid
-// document that is not older the current one. A server's item is decoded once
+// document that is not older than the current one. A server's item is decoded once
 // per version.
 func (c *control) decodeItem(i mirror.Item, servers map[string]*fleet.Server) {
 	if d, ok := c.decoded[i.Key]; ok && d.version == i.Version() {
