Query the hosts of a data centre until one replies

A host feeds cold servers only once it has the list of another host. It queried at most 12 hosts after its start and then stopped, so that a host whose first queries all failed (the first one up after a power failure of all, or one that started cut off) never fed a cold server. While no host has replied and the document limits cold servers, the queries now start again every 5 s. Without a limit nothing changes; the test fails for the former code.

--- a/internal/marked/feeders_test.go
+++ b/internal/marked/feeders_test.go
@@ -75,6 +75,24 @@
 	}
 }
 
+// TestHostsAreQueriedUntilOneReplies guards against a host that never feeds cold
+// servers because the hosts that it queried after its start were not up yet.
+func TestHostsAreQueriedUntilOneReplies(t *testing.T) {
+	for _, limitsCold := range []bool{true, false} {
+		t.Run(fmt.Sprint("limit ", limitsCold), func(t *testing.T) {
+			is := is.New(t)
+			p, c := loadedPeers(t, 10)
+			c.trafficStarted, p.retained.replies, p.membership.limitsCold = true, 0, limitsCold
+			for range maxRetainedQueries + 2 {
+				p.queryRetainedState(testNow, c)
+			}
+			is.Equal(len(p.retained.queried), maxRetainedQueries)
+			p.queryRetainedState(testNow+10*time.Second, c)
+			is.Equal(len(p.retained.queried) == 1, limitsCold)
+		})
+	}
+}
+
 // TestGreeting checks that a host greets a host that it has not heard from, that a
 // greeting is answered, and that it has no other effect.
 func TestGreeting(t *testing.T) {
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -19,6 +19,11 @@
 	// retained state after its start, and maxRetainedReplies that of replies.
 	maxRetainedQueries = 12
 	maxRetainedReplies = 4
+	// retainedRoundInterval is the interval at which hosts are queried again, while
+	// none has replied and the document limits cold servers: a host feeds these only
+	// once it has the list of another one, and after a power failure of all hosts
+	// the first queries may fail.
+	retainedRoundInterval = 5 * time.Second
 	// retainedStatePath is the HTTP path at which peers query the retained state.
 	retainedStatePath = "/remnants"
 )
@@ -44,6 +49,8 @@
 	// those that replied.
 	queried []uint64
 	replies int
+	// nextRoundAt is when hosts are queried again if none has replied.
+	nextRoundAt time.Duration
 	// done is set once a peer has replied that has been running for at least the
 	// maximum duration of a flow. Its state is complete.
 	done bool
@@ -53,6 +60,7 @@
 // this data centre go first: if it is partitioned from the others, its changes
 // reach them first.
 func (p *peers) queryRetainedState(now time.Duration, c *control) {
+	p.startRetainedRound(now)
 	if p.retained.done || p.retained.replies >= maxRetainedReplies || len(p.retained.queried) >= maxRetainedQueries || !c.trafficStarted {
 		return
 	}
@@ -72,6 +80,16 @@
 	go p.host.fetchRetainedState(best.address)
 }
 
+// startRetainedRound lets all hosts be queried again if none has replied.
+func (p *peers) startRetainedRound(now time.Duration) {
+	r := &p.retained
+	if r.replies > 0 || !p.membership.limitsCold || now < r.nextRoundAt {
+		return
+	}
+	r.nextRoundAt = now + retainedRoundInterval
+	r.queried = r.queried[:0]
+}
+
 // queriedBefore reports whether a is to be queried before b. The order within
 // and outside this data centre is random.
 func (p *peers) queriedBefore(a, b *peer) bool {
