List lost hosts only while the document limits cold servers

The reply that a host gets at its start named lost hosts and forgotten ones also where no service has a rate, so such a host counted hosts as known that it did not know before. The reply is now as it was before the limit, unless the document limits cold servers; the test fails for the former code.

--- a/internal/marked/digest.go
+++ b/internal/marked/digest.go
@@ -69,12 +69,16 @@
 	return d
 }
 
-// knownHosts returns all other hosts that are known, including lost ones: a host
-// that starts must rank the hosts of its data centre as the others do.
+// knownHosts returns the other hosts that any host has seen lately. While the
+// document limits cold servers, it includes lost hosts, since a host that starts
+// must rank the hosts of its data centre as the others do.
 func (p *peers) knownHosts(now time.Duration) []knownHost {
 	var out []knownHost
 	for _, id := range p.sortedIDs {
 		other := p.byID[id]
+		if now-other.lastSeen >= initialRecordAge && !p.membership.limitsCold {
+			continue
+		}
 		out = append(out, knownHost{Address: other.address.String(), DataCentre: other.dataCentre, Age: now - other.lastSeen})
 	}
 	return out
--- a/internal/marked/feeders_test.go
+++ b/internal/marked/feeders_test.go
@@ -122,6 +122,17 @@
 	is.Equal(from.name, "") // The first other digest counts as that of a host that joins.
 }
 
+// TestListOfHostsWithoutLimit guards against lost hosts in the list that a host gets
+// at its start where nothing depends on them: it would expect them to be alive.
+func TestListOfHostsWithoutLimit(t *testing.T) {
+	is := is.New(t)
+	p, _ := loadedPeers(t, 3)
+	later := testNow + initialRecordAge
+	is.Equal(len(p.knownHosts(later)), 6)
+	p.membership.limitsCold = false
+	is.Equal(len(p.knownHosts(later)), 0)
+}
+
 // TestDigestsNameNewHostsFirst guards against hosts that become known to all others
 // only after the hold-down, since digests name a few of hundreds of hosts.
 func TestDigestsNameNewHostsFirst(t *testing.T) {
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -33,8 +33,8 @@
 	// UpFor is the time since the replying host started.
 	UpFor         time.Duration       `json:"upFor"`
 	RetainedState fleet.RetainedState `json:"remnants"`
-	// KnownHosts are the hosts that are known, including lost ones, since the store has the
-	// records of a few hosts only.
+	// KnownHosts are the hosts that knownHosts returns, since the store has the records
+	// of a few hosts only.
 	KnownHosts []knownHost `json:"known,omitempty"`
 	// ForgottenHosts are the IDs of hosts of the asking host's data centre that the
 	// replying host has forgotten.
@@ -148,7 +148,7 @@
 		now := h.now()
 		c.peers.serveStart(now, from, q.Get("dataCentre"))
 		reply = retainedStateReply{UpFor: now, RetainedState: c.builder.RetainedState(now), KnownHosts: c.peers.knownHosts(now)}
-		if q.Get("dataCentre") == h.settings.DataCentre {
+		if c.peers.membership.limitsCold && q.Get("dataCentre") == h.settings.DataCentre {
 			reply.ForgottenHosts = c.peers.membership.Expired()
 		}
 	})
