--- a/pkg/steer/coldserver.go
+++ b/pkg/steer/coldserver.go
@@ -293,14 +293,33 @@
 
 // handleColdTimeout handles a deferred SYN whose turn has come.
 func (t *Table) handleColdTimeout(now time.Duration, f *flow) (Resend, bool) {
-	switch {
-	case !t.limiter(f.service).isFull(f.overdue):
-		return t.release(now, f)
-	case now < f.holdDeadline:
-		t.deferUntil(now, now+deferredRecheckInterval, f)
+	l := t.limiter(f.service)
+	if l.isFull(f.overdue) {
+		if now < f.holdDeadline {
+			t.deferUntil(now, now+deferredRecheckInterval, f)
+			return Resend{}, false
+		}
+		return t.endDeferredHold(now, f)
+	}
+	s := t.chooseServer(now, f.service, nil)
+	if s == nil {
+		return t.deferHeld(now, f)
+	}
+	if now < f.holdDeadline && l.isFull(true) && !t.health[s.Mark].cold.isCold(now) {
+		t.holdDeferred(now, f)
 		return Resend{}, false
 	}
-	return t.endDeferredHold(now, f)
+	return t.sendHeld(now, f, s), true
+}
+
+// holdDeferred holds a SYN that was deferred like one that is overdue: while the
+// flows in flight fill this host's share of the slots, it is not sent. Many may
+// have been deferred until the same server is warm.
+func (t *Table) holdDeferred(now time.Duration, f *flow) {
+	t.endDeferral(f)
+	f.overdue = true
+	t.enqueue(now, f)
+	t.timers.push(timer{expiresAt: f.holdDeadline, flow: f, generation: f.generation, kind: holdTimer})
 }
 
 // ColdReport is the state of the cold servers of a service with a limit on them.
--- a/pkg/steer/coldserver_test.go
+++ b/pkg/steer/coldserver_test.go
@@ -190,6 +190,36 @@
 	is.Equal(r.Server.Mark, uint32(1))
 }
 
+// TestDeferredSYNsDoNotFillQueues guards against a burst at the end of a warm-up, for
+// example after a power failure of all servers: the SYNs of a second at once would
+// exceed the slots and the queues.
+func TestDeferredSYNsDoNotFillQueues(t *testing.T) {
+	is := is.New(t)
+	table := coldTable(coldView(4, 1, 300*ms, "a"), 9, 0) // No feeder; two slots.
+	for n := range 9 {
+		is.Equal(table.newSYN(0, n).Action, Hold)
+	}
+	sent := map[Key]bool{}
+	release := func(now time.Duration) {
+		for r, ok := table.NextResend(now); ok; r, ok = table.NextResend(now) {
+			sent[r.Key] = r.Server != nil
+		}
+	}
+	release(300 * ms)
+	is.Equal(len(sent), 2)
+	for k := range sent {
+		table.HandlePacket(310*ms, &Packet{Key: k, Mark: 1, FIN: true}, nil)
+	}
+	release(310 * ms)
+	is.Equal(len(sent), 4)
+	for k := range sent { // Answered, but still in flight.
+		table.HandlePacket(320*ms, &Packet{Key: k, Mark: 1}, nil)
+	}
+	release(maxHold) // At its deadline, a SYN is sent in any case.
+	is.Equal(len(sent), 9)
+	is.Equal(table.coldServices["desk"].deferred, 0)
+}
+
 // TestServerThatMayHaveRestartedIsCold guards against flows to a server that has
 // restarted although its entry does not show that it is cold.
 func TestServerThatMayHaveRestartedIsCold(t *testing.T) {
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -133,9 +133,14 @@
 	if s == nil {
 		return t.deferHeld(now, f)
 	}
+	return t.sendHeld(now, f, s), true
+}
+
+// sendHeld sends a held SYN to a server.
+func (t *Table) sendHeld(now time.Duration, f *flow, s *fleet.Server) Resend {
 	t.recordSYNSent(now, f, s)
 	n := copy(t.resendBuffer[:], f.rawSYN[:f.rawSYNSize])
-	return Resend{Key: f.key, Server: s, RawSYN: t.resendBuffer[:n]}, true
+	return Resend{Key: f.key, Server: s, RawSYN: t.resendBuffer[:n]}
 }
 
 // handleHoldTimeout handles the expiry of a hold. A fresh SYN becomes overdue.
