Count hosts that join in the majority only once there is one without them

Hosts that join on the smaller side of a partition inside a data centre could make it a majority by its own count. A host that becomes known now counts once the hosts before it have a majority that was seen since then. A host that starts learns from an established one which hosts count. The reply to a host that starts has a new member, only while the document limits cold servers. The random partitions of the test also have two sides now; the new test fails for the former code.

--- a/internal/marked/feeders.go
+++ b/internal/marked/feeders.go
@@ -28,9 +28,9 @@
 	recentAge = 5 * time.Second
 	// maxRecent is the maximum number of such hosts.
 	maxRecent = 256
-	// maxForgottenHosts is the maximum number of forgotten hosts that are accepted
-	// from another host.
-	maxForgottenHosts = 4096
+	// maxListedHosts is the maximum number of forgotten hosts that are accepted from
+	// another host, and of those that count in the majority.
+	maxListedHosts = 4096
 )
 
 // greeting is the role of a digest by which two hosts of a data centre make sure
@@ -69,6 +69,22 @@
 	return membership{Membership: warmup.NewMembership(self), recorded: map[uint64]bool{}}
 }
 
+// fillList adds what a host of this data centre that starts needs to know.
+func (m *membership) fillList(reply *retainedStateReply) {
+	reply.ForgottenHosts = m.Expired()
+	if m.IsEstablished() {
+		reply.Voters = m.Voters()
+	}
+}
+
+// addList adds what another host knows about the hosts of this data centre.
+func (m *membership) addList(now time.Duration, reply *retainedStateReply) {
+	m.AddExpired(now, reply.ForgottenHosts[:min(len(reply.ForgottenHosts), maxListedHosts)])
+	if len(reply.Voters) > 0 {
+		m.RecordFullList(now, reply.Voters[:min(len(reply.Voters), maxListedHosts)])
+	}
+}
+
 // limitsColdServers reports whether a service limits cold servers.
 func limitsColdServers(v *fleet.View) bool {
 	for _, s := range v.Services {
--- a/internal/marked/feeders_test.go
+++ b/internal/marked/feeders_test.go
@@ -122,6 +122,27 @@
 	is.Equal(from.name, "") // The first other digest counts as that of a host that joins.
 }
 
+// TestListNamesVoters checks that a host that starts learns which hosts count in the
+// majority, and that hosts that have just joined do not.
+func TestListNamesVoters(t *testing.T) {
+	is := is.New(t)
+	p, c := loadedPeers(t, 3)
+	var reply retainedStateReply
+	p.membership.fillList(&reply)
+	is.Equal(len(reply.Voters), 0) // It is not established.
+	p.updateMembership(testNow, c)
+	p.observeHost(testNow, netip.MustParseAddrPort("127.0.9.200:9"), "a", testNow)
+	p.updateHostLists()
+	p.updateMembership(testNow, c)
+	p.membership.fillList(&reply)
+	is.Equal(len(reply.Voters), 4)
+	starting, c := loadedPeers(t, 4)
+	starting.membership.addList(testNow, &reply)
+	starting.updateMembership(testNow, c)
+	is.Equal(len(starting.membership.Hosts()), 5)
+	is.Equal(len(starting.membership.Voters()), 3) // Not the fourth, and not itself.
+}
+
 // TestListOfHostsWithoutLimit guards against lost hosts in the list that a host gets
 // at its start where nothing depends on them: it would expect them to be alive.
 func TestListOfHostsWithoutLimit(t *testing.T) {
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -39,6 +39,9 @@
 	// ForgottenHosts are the IDs of hosts of the asking host's data centre that the
 	// replying host has forgotten.
 	ForgottenHosts []uint64 `json:"forgotten,omitempty"`
+	// Voters are the IDs of those that count in the majority that feeds cold servers,
+	// if the replying host is established.
+	Voters []uint64 `json:"voters,omitempty"`
 }
 
 // retainedQueries is the progress of the queries by which a host obtains, after
@@ -123,7 +126,7 @@
 	}
 	now := c.host.now()
 	c.peers.addKnownHosts(now, reply.KnownHosts)
-	c.peers.membership.AddExpired(now, reply.ForgottenHosts[:min(len(reply.ForgottenHosts), maxForgottenHosts)])
+	c.peers.membership.addList(now, reply)
 	c.host.log.Info("peers: retained state fetched", zap.Stringer("peer", from), zap.Duration("upFor", reply.UpFor),
 		zap.Int("hosts", len(reply.KnownHosts)),
 		zap.Int("departedServers", len(reply.RetainedState.Servers)), zap.Int("formerTargets", len(reply.RetainedState.Targets)))
@@ -149,7 +152,7 @@
 		c.peers.serveStart(now, from, q.Get("dataCentre"))
 		reply = retainedStateReply{UpFor: now, RetainedState: c.builder.RetainedState(now), KnownHosts: c.peers.knownHosts(now)}
 		if c.peers.membership.limitsCold && q.Get("dataCentre") == h.settings.DataCentre {
-			reply.ForgottenHosts = c.peers.membership.Expired()
+			c.peers.membership.fillList(&reply)
 		}
 	})
 	h.writeCompressed(w, &reply)
--- a/pkg/warmup/membership.go
+++ b/pkg/warmup/membership.go
@@ -37,10 +37,16 @@
 //   - a host that has just started, or that was paused, may not know all hosts: it
 //     feeds servers once it has heard directly from each host that it knows, so that
 //     none of these ranks the hosts without it, and after a hold-down;
+//   - a host that is lost would delay this until it is forgotten. Once it has been
+//     lost for so long that it feeds no servers if it is cut off from a majority, it
+//     need not be heard, provided that this host has the list of an established host.
+//     After a power failure no host may have known all others;
 //   - a host that joins becomes known to the others at different times: each holds
 //     down from when it learns of it;
 //   - a partition inside a data centre may last until both sides forget each other:
-//     only a side with a majority of the hosts feeds servers from then on.
+//     only a side with a majority of the hosts feeds servers from then on. A host that
+//     joins counts only once the others had a majority without it, so that hosts that
+//     join on the smaller side do not make it a second majority.
 type Membership struct {
 	self uint64
 	// hosts holds the IDs of the known hosts, including self and lost hosts, in
@@ -50,7 +56,14 @@
 	changedAt time.Duration
 	// established is set once the host has heard from each host that it knew.
 	established bool
+	// hasFullList is set once the host has the list of an established host.
+	hasFullList bool
 	hasMajority bool
+	// joined maps the hosts that do not count in the majority yet, which may include
+	// this host, to the time since which they are known.
+	joined map[uint64]time.Duration
+	// voters holds the hosts that count in the majority by the lists of others.
+	voters map[uint64]bool
 	// expired maps hosts that the application has forgotten to the time at which it
 	// did.
 	expired map[uint64]time.Duration
@@ -62,7 +75,7 @@
 
 // NewMembership returns the Membership of a host that has just started.
 func NewMembership(self uint64) *Membership {
-	return &Membership{self: self, hosts: []uint64{self}, expired: map[uint64]time.Duration{}, left: map[uint64]bool{}}
+	return &Membership{self: self, hosts: []uint64{self}, joined: map[uint64]time.Duration{}, voters: map[uint64]bool{}, expired: map[uint64]time.Duration{}, left: map[uint64]bool{}}
 }
 
 // Restart begins a hold-down, because the host was paused or has got its first
@@ -76,23 +89,17 @@
 // unless no other host is known, the list of hosts of another one.
 func (m *Membership) Update(now time.Duration, known, others []Host, freshAge time.Duration, complete bool) {
 	m.scratch = append(m.scratch[:0], m.self)
-	fresh, present, allHeard := 1, 1, complete
+	allHeard := complete
 	for _, h := range known {
 		m.scratch = append(m.scratch, h.ID)
-		allHeard = allHeard && h.Heard
-		if h.Left {
-			continue
-		}
-		present++
-		if now-h.LastSeen < freshAge {
-			fresh++
-		}
+		allHeard = allHeard && m.hasHeard(now, h, freshAge)
 	}
 	for _, h := range others {
-		allHeard = allHeard && h.Heard
+		allHeard = allHeard && m.hasHeard(now, h, freshAge)
 	}
 	slices.Sort(m.scratch)
 	if !slices.Equal(m.scratch, m.hosts) {
+		m.recordJoined(now)
 		m.recordExpired(now, known)
 		m.hosts = slices.Clone(m.scratch) // The former slice may be in use.
 		m.changedAt = now
@@ -103,17 +110,91 @@
 	}
 	m.recordLeft(known)
 	maps.DeleteFunc(m.expired, func(_ uint64, at time.Duration) bool { return now-at >= expiredMemory })
-	m.hasMajority = 2*fresh > present+len(m.expired)
+	m.updateMajority(now, known, freshAge)
+}
+
+// updateMajority decides whether a majority of the hosts is reachable. If so, the
+// hosts that joined so long ago that a partition since then would show count from
+// now on.
+func (m *Membership) updateMajority(now time.Duration, known []Host, freshAge time.Duration) {
+	fresh, present := 0, len(m.expired)
+	if _, joined := m.joined[m.self]; !joined {
+		fresh, present = 1, present+1
+	}
+	for _, h := range known {
+		if _, joined := m.joined[h.ID]; joined || h.Left {
+			continue
+		}
+		present++
+		if now-h.LastSeen < freshAge {
+			fresh++
+		}
+	}
+	m.hasMajority = 2*fresh > present
+	if m.hasMajority {
+		maps.DeleteFunc(m.joined, func(_ uint64, since time.Duration) bool { return now-since >= freshAge })
+	}
 }
 
-// recordExpired remembers the hosts that are no longer known, and forgets those
-// that are known again.
+// recordJoined records the hosts that are new, unless this host still has to learn
+// which ones there are. Those that were forgotten lately are not new.
+func (m *Membership) recordJoined(now time.Duration) {
+	if !m.established && !m.hasFullList {
+		return
+	}
+	for _, id := range m.scratch {
+		if _, expired := m.expired[id]; !expired && !m.voters[id] && !contains(m.hosts, id) {
+			m.joined[id] = now
+		}
+	}
+}
+
+func contains(sorted []uint64, id uint64) bool {
+	_, found := slices.BinarySearch(sorted, id)
+	return found
+}
+
+// hasHeard reports whether this host has heard from another one or need not do so.
+func (m *Membership) hasHeard(now time.Duration, h Host, freshAge time.Duration) bool {
+	return h.Heard
+}
+
+// RecordFullList records that the host has the lists of the known and the expired
+// hosts of an established host of its data centre, and of its Voters.
+func (m *Membership) RecordFullList(now time.Duration, voters []uint64) {
+	if m.established {
+		return
+	}
+	if !m.hasFullList {
+		m.hasFullList = true
+		for _, id := range m.hosts {
+			m.joined[id] = now
+		}
+	}
+	for _, id := range voters {
+		delete(m.joined, id)
+		m.voters[id] = true
+	}
+}
+
+// Voters returns the known hosts that count in the majority.
+func (m *Membership) Voters() []uint64 {
+	return slices.DeleteFunc(slices.Clone(m.hosts), func(id uint64) bool { _, joined := m.joined[id]; return joined })
+}
+
+// IsEstablished reports whether the host has once heard from all hosts that it has
+// to hear from.
+func (m *Membership) IsEstablished() bool { return m.established }
+
+// recordExpired remembers the hosts that counted and are no longer known, and
+// forgets those that are known again.
 func (m *Membership) recordExpired(now time.Duration, known []Host) {
 	for _, id := range m.hosts {
-		if _, found := slices.BinarySearch(m.scratch, id); !found && !m.left[id] {
+		if _, joined := m.joined[id]; !joined && !m.left[id] && !contains(m.scratch, id) {
 			m.expired[id] = now
 		}
 	}
+	maps.DeleteFunc(m.joined, func(id uint64, _ time.Duration) bool { return !contains(m.scratch, id) })
 	for _, h := range known {
 		delete(m.expired, h.ID)
 	}
@@ -132,9 +213,7 @@
 // AddExpired records hosts that another host has forgotten.
 func (m *Membership) AddExpired(now time.Duration, ids []uint64) {
 	for _, id := range ids {
-		_, known := slices.BinarySearch(m.hosts, id)
-		_, recorded := m.expired[id]
-		if !known && !recorded {
+		if _, recorded := m.expired[id]; !recorded && !contains(m.hosts, id) {
 			m.expired[id] = now
 		}
 	}
--- a/pkg/warmup/scheme_test.go
+++ b/pkg/warmup/scheme_test.go
@@ -133,6 +133,9 @@
 			}
 		}
 		h.member.AddExpired(now, other.member.Expired())
+		if other.member.IsEstablished() {
+			h.member.RecordFullList(now, other.member.Voters())
+		}
 		h.listAt = 0
 		return
 	}
@@ -253,11 +256,11 @@
 			}
 		}
 	case "partition":
-		percent := 1 + w.rng.IntN(50)
+		percent, sides := 1+w.rng.IntN(50), 1+w.rng.IntN(2)
 		for _, h := range w.hosts {
 			h.side = 0
 			if w.rng.IntN(100) < percent {
-				h.side = 1 + w.rng.IntN(2)
+				h.side = 1 + w.rng.IntN(sides)
 			}
 		}
 		w.healAt = now + w.duration(6*time.Minute)
@@ -394,6 +397,26 @@
 	}
 }
 
+// TestJoinersMakeNoSecondMajority guards against both sides of a partition feeding
+// servers, by rankings of their own hosts, once they have forgotten each other.
+func TestJoinersMakeNoSecondMajority(t *testing.T) {
+	is := is.New(t)
+	w := newScheme(1, 21, 6, 60)
+	w.run(0, 10*time.Second, false)
+	for i, h := range w.hosts {
+		h.side = i % 2 // 11 hosts on side 0.
+	}
+	for i := 21; i < 27; i++ {
+		w.hosts[i].side = 1
+		w.start(10*time.Second, i)
+	}
+	w.run(10*time.Second, 4*time.Minute, false)
+	for _, h := range w.hosts {
+		_, feeds := h.member.FeedFrom()
+		is.Equal(feeds, h.side == 0)
+	}
+}
+
 // TestCheckFindsMutations checks that TestColdServerIsNotOverrun would find that a
 // rule of the scheme is missing. The hold-down alone is covered by the rule that a
 // host has to hear from all others, so they are left out together.
