Let hosts that start feed cold servers although others are lost

A host that starts had to hear from each host that it knows, and so fed no cold server until the dead ones were forgotten (3 minutes), or until their records in the store had expired (10 minutes and the time to the next check). In a data centre that loses hosts all the time, most hosts that start waited. A host that has the list of an established host now waits only until the lost ones have been out of sight for the time after which a host without a majority feeds nothing, and the hold-down. It asks for such a list until it has one, each 20 s after the first replies.

If the lists of hosts that are not established count, the check finds it.

--- a/internal/marked/feeders.go
+++ b/internal/marked/feeders.go
@@ -69,6 +69,12 @@
 	return membership{Membership: warmup.NewMembership(self), recorded: map[uint64]bool{}}
 }
 
+// needsList reports whether the host still needs the list of another one, if replies
+// have replied.
+func (m *membership) needsList(replies int) bool {
+	return m.limitsCold && (replies == 0 || !m.IsEstablished() && !m.HasFullList())
+}
+
 // fillList adds what a host of this data centre that starts needs to know.
 func (m *membership) fillList(reply *retainedStateReply) {
 	reply.ForgottenHosts = m.Expired()
--- a/internal/marked/feeders_test.go
+++ b/internal/marked/feeders_test.go
@@ -87,8 +87,13 @@
 				p.queryRetainedState(testNow, c)
 			}
 			is.Equal(len(p.retained.queried), maxRetainedQueries)
-			p.queryRetainedState(testNow+10*time.Second, c)
+			p.queryRetainedState(testNow+firstListInterval, c)
 			is.Equal(len(p.retained.queried) == 1, limitsCold)
+			p.retained.replies, p.retained.done = maxRetainedReplies, true // None of them is established.
+			for range 3 {
+				p.queryRetainedState(testNow+2*fullListInterval, c)
+			}
+			is.Equal(p.retained.done, !limitsCold)
 		})
 	}
 }
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -19,11 +19,13 @@
 	// retained state after its start, and maxRetainedReplies that of replies.
 	maxRetainedQueries = 12
 	maxRetainedReplies = 4
-	// retainedRoundInterval is the interval at which hosts are queried again, while
-	// none has replied and the document limits cold servers: a host feeds these only
+	// firstListInterval is the interval at which hosts are queried again, while none
+	// has replied and the document limits cold servers: a host feeds these only
 	// once it has the list of another one, and after a power failure of all hosts
-	// the first queries may fail.
-	retainedRoundInterval = 5 * time.Second
+	// the first queries may fail. fullListInterval is the interval while none has
+	// replied that knows all hosts of this data centre.
+	firstListInterval = 5 * time.Second
+	fullListInterval  = 20 * time.Second
 	// retainedStatePath is the HTTP path at which peers query the retained state.
 	retainedStatePath = "/remnants"
 )
@@ -83,13 +85,19 @@
 	go p.host.fetchRetainedState(best.address)
 }
 
-// startRetainedRound lets all hosts be queried again if none has replied.
+// startRetainedRound lets hosts be queried again if none has replied, or none that
+// knows all hosts of this data centre.
 func (p *peers) startRetainedRound(now time.Duration) {
 	r := &p.retained
-	if r.replies > 0 || !p.membership.limitsCold || now < r.nextRoundAt {
+	if !p.membership.needsList(r.replies) || now < r.nextRoundAt {
 		return
 	}
-	r.nextRoundAt = now + retainedRoundInterval
+	r.nextRoundAt = now + firstListInterval
+	if r.replies > 0 {
+		r.nextRoundAt = now + fullListInterval
+		r.replies = min(r.replies, maxRetainedReplies-1) // One more.
+		r.done = false
+	}
 	r.queried = r.queried[:0]
 }
 
--- a/pkg/warmup/membership.go
+++ b/pkg/warmup/membership.go
@@ -156,7 +156,7 @@
 
 // hasHeard reports whether this host has heard from another one or need not do so.
 func (m *Membership) hasHeard(now time.Duration, h Host, freshAge time.Duration) bool {
-	return h.Heard
+	return h.Heard || m.hasFullList && now-h.LastSeen >= freshAge+HoldDown
 }
 
 // RecordFullList records that the host has the lists of the known and the expired
@@ -177,6 +177,9 @@
 	}
 }
 
+// HasFullList reports whether RecordFullList has been called.
+func (m *Membership) HasFullList() bool { return m.hasFullList }
+
 // Voters returns the known hosts that count in the majority.
 func (m *Membership) Voters() []uint64 {
 	return slices.DeleteFunc(slices.Clone(m.hosts), func(id uint64) bool { _, joined := m.joined[id]; return joined })
--- a/pkg/warmup/scheme_test.go
+++ b/pkg/warmup/scheme_test.go
@@ -26,7 +26,8 @@
 	up, leaving  bool
 	resumeAt     time.Duration // End of a pause.
 	restartAt    time.Duration // 0 if the host stays down.
-	listAt       time.Duration // When it gets the list of another host, 0 afterwards.
+	listAt       time.Duration // When it gets the lists of other hosts.
+	listed       bool          // It has got one.
 	side         int           // Hosts on different sides of a partition are not in touch.
 	learn        []time.Duration
 	known        []Host // Indexed by host; ID is 0 if it is not known.
@@ -39,13 +40,13 @@
 // scheme simulates one cold server and the hosts of its data centre. The rest are
 // mutations, which the check must find.
 type scheme struct {
-	rng                                                    *rand.Rand
-	settings                                               Settings
-	perSecond                                              float64
-	hosts                                                  []*simHost
-	sends                                                  []time.Duration
-	fullDemand                                             bool
-	noHoldDown, liveOnly, noHearing, noMajority, noRecords bool
+	rng                                                             *rand.Rand
+	settings                                                        Settings
+	perSecond                                                       float64
+	hosts                                                           []*simHost
+	sends                                                           []time.Duration
+	fullDemand                                                      bool
+	noHoldDown, liveOnly, noHearing, noMajority, noRecords, anyList bool
 	// records maps the hosts that have a record in the store to when it expires.
 	records           map[int]time.Duration
 	nextFault, healAt time.Duration
@@ -119,25 +120,27 @@
 // fetchList gives a host that has started the lost and the forgotten hosts that
 // another one knows.
 func (w *scheme) fetchList(now time.Duration, i int, h *simHost) {
-	if h.listAt == 0 || now < h.listAt {
+	if now < h.listAt || h.listed && (h.member.IsEstablished() || h.member.HasFullList()) {
 		return
 	}
+	h.listAt = now + 20*time.Second
+	left := 4
 	for _, j := range w.rng.Perm(len(w.hosts)) {
 		other := w.hosts[j]
-		if i == j || !w.inTouch(now, h, other) || other.listAt > 0 && w.rng.IntN(4) > 0 {
+		if left == 0 || i == j || !w.inTouch(now, h, other) || !other.listed && w.rng.IntN(4) > 0 {
 			continue
 		}
+		left--
 		for n, k := range other.known {
 			if k.ID != 0 && n != i && h.known[n].ID == 0 {
 				h.known[n] = Host{ID: k.ID, LastSeen: k.LastSeen}
 			}
 		}
 		h.member.AddExpired(now, other.member.Expired())
-		if other.member.IsEstablished() {
+		if other.member.IsEstablished() || w.anyList {
 			h.member.RecordFullList(now, other.member.Voters())
 		}
-		h.listAt = 0
-		return
+		h.listed = true
 	}
 }
 
@@ -189,7 +192,7 @@
 			h.recorded = append(h.recorded, Host{ID: uint64(j + 1), Heard: h.known[j].Heard})
 		}
 	}
-	h.member.Update(now, h.list, h.recorded, w.freshAge(), h.listAt == 0)
+	h.member.Update(now, h.list, h.recorded, w.freshAge(), h.listed)
 	if w.noMajority {
 		h.member.hasMajority = true
 	}
@@ -397,6 +400,24 @@
 	}
 }
 
+// TestReplacementsFeedSoon guards against hosts that start and feed no servers for the
+// minutes for which the dead hosts that they replace are remembered.
+func TestReplacementsFeedSoon(t *testing.T) {
+	is := is.New(t)
+	w := newScheme(1, 23, 10, 60)
+	w.run(0, 10*time.Second, false)
+	for i := range 10 {
+		w.hosts[i].up = false
+		w.start(10*time.Second, 23+i)
+	}
+	// The dead hosts have to be lost; then there is a hold-down of the joined hosts.
+	w.run(10*time.Second, 10*time.Second+w.freshAge()+2*HoldDown+maxLearnTime+simTick, false)
+	for _, h := range w.hosts[10:] {
+		_, feeds := h.member.FeedFrom()
+		is.True(feeds)
+	}
+}
+
 // TestJoinersMakeNoSecondMajority guards against both sides of a partition feeding
 // servers, by rankings of their own hosts, once they have forgotten each other.
 func TestJoinersMakeNoSecondMajority(t *testing.T) {
@@ -426,6 +447,7 @@
 		"no hearing":               func(w *scheme) { w.noHearing = true },
 		"no hearing, no hold-down": func(w *scheme) { w.noHearing, w.noHoldDown = true, true },
 		"no records":               func(w *scheme) { w.noRecords = true },
+		"lists of any host":        func(w *scheme) { w.anyList = true },
 		"no majority required":     func(w *scheme) { w.noMajority = true },
 	} {
 		t.Run(name, func(t *testing.T) {
