Hold down when a host has a majority again

A host that was cut off and is in touch again fed cold servers at once by its former ranking, while hosts that joined in the meantime fed them too: since they no longer wait for lost hosts, the model finds this case. A hold-down now begins with the regained majority, and greetings are at most 2 s apart, so that the host learns of those that joined. The test fails for the former code.

--- a/internal/marked/feeders.go
+++ b/internal/marked/feeders.go
@@ -20,9 +20,10 @@
 	// tick, so that a start does not fill a small link.
 	greetingsPerTick = 64
 	// initialGreetingInterval is the interval of the greetings of a host that has
-	// not answered yet. It doubles up to maxGreetingInterval.
+	// not answered yet. It doubles up to maxGreetingInterval, which is less than the
+	// hold-down: a host that was cut off learns within that of those that joined.
 	initialGreetingInterval = 2 * peerTickInterval
-	maxGreetingInterval     = 10 * time.Second
+	maxGreetingInterval     = 2 * time.Second
 	// recentAge is the time for which digests name a host first that has become
 	// known.
 	recentAge = 5 * time.Second
--- a/pkg/warmup/membership.go
+++ b/pkg/warmup/membership.go
@@ -130,7 +130,11 @@
 			fresh++
 		}
 	}
+	hadMajority := m.hasMajority
 	m.hasMajority = 2*fresh > present
+	if m.hasMajority && !hadMajority {
+		m.changedAt = now // Hosts may have joined that this host does not know yet.
+	}
 	if m.hasMajority {
 		maps.DeleteFunc(m.joined, func(_ uint64, since time.Duration) bool { return now-since >= freshAge })
 	}
--- a/pkg/warmup/scheme_test.go
+++ b/pkg/warmup/scheme_test.go
@@ -418,6 +418,25 @@
 	}
 }
 
+// TestRegainedMajorityHoldsDown guards against a host that was cut off and feeds servers
+// before it knows the hosts that joined in that time.
+func TestRegainedMajorityHoldsDown(t *testing.T) {
+	is := is.New(t)
+	m := NewMembership(1)
+	const freshAge = 5 * time.Second
+	update := func(now, seen time.Duration) {
+		m.Update(now, []Host{{ID: 2, LastSeen: seen, Heard: true}, {ID: 3, LastSeen: seen, Heard: true}}, nil, freshAge, true)
+	}
+	update(0, 0)
+	update(freshAge, 0)
+	_, feeds := m.FeedFrom()
+	is.True(!feeds)
+	update(9*time.Second, 9*time.Second)
+	from, feeds := m.FeedFrom()
+	is.True(feeds)
+	is.Equal(from, 9*time.Second+HoldDown)
+}
+
 // TestJoinersMakeNoSecondMajority guards against both sides of a partition feeding
 // servers, by rankings of their own hosts, once they have forgotten each other.
 func TestJoinersMakeNoSecondMajority(t *testing.T) {
@@ -431,7 +450,7 @@
 		w.hosts[i].side = 1
 		w.start(10*time.Second, i)
 	}
-	w.run(10*time.Second, 4*time.Minute, false)
+	w.run(10*time.Second, 10*time.Second+4*time.Minute, false)
 	for _, h := range w.hosts {
 		_, feeds := h.member.FeedFrom()
 		is.Equal(feeds, h.side == 0)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -61,4 +61,6 @@
 expect bad warmup NOHOLDDOWN
 expect bad warmup LIVEONLY
 expect bad warmup NOHEARING
+expect bad warmup NOREGAIN
+expect bad warmup SOON
 exit "$failed"
--- a/spec/warmup.pml
+++ b/spec/warmup.pml
@@ -16,9 +16,17 @@
  *
  * Property: in any two successive ticks, flows of one host only reach the server.
  *
+ * A host that has been cut off for FRESH ticks lacks a majority and feeds nothing, and
+ * when it has one again, a hold-down begins. A
+ * host that has the list of an established host need not hear from a host that has been
+ * cut off for FRESH ticks and the hold-down.
+ *
  * Mutation NOHOLDDOWN: a host feeds the server as soon as its knowledge allows it.
- * Mutation LIVEONLY: a host ranks only hosts that it is in touch with.
+ * Mutation LIVEONLY: a host ranks only hosts that it is in touch with, and needs no
+ * majority.
  * Mutation NOHEARING: a host that starts need not hear from the hosts that it knows.
+ * Mutation NOREGAIN: a host that has a majority again feeds the server at once.
+ * Mutation SOON: it need not hear from a host from the moment at which it is cut off.
  */
 #define NONE 3
 #define LEARN 2
@@ -27,6 +35,12 @@
 #else
 #define HOLD 3
 #endif
+#define FRESH 2
+#ifdef SOON
+#define LOST 0
+#else
+#define LOST (FRESH + 3)
+#endif
 #define RECORDS 6                     /* hosts 1 and 2 */
 #define has(set, i) (((set) >> (i)) & 1)
 
@@ -34,11 +48,13 @@
 byte known[3];                        /* sets of hosts, with the host itself */
 byte heard[3];
 bool listed[3];                       /* has the list of another host */
+bool full_list[3];                    /* has the list of an established host */
 bool established[3];
 byte age[3];                          /* ticks since known changed, up to HOLD */
 byte waited[9];                       /* ticks in touch with a host that knows more */
 byte cut_off = NONE;
 byte cuts = 0;
+byte cut_for = 0;                     /* ticks of the present cut, up to FRESH + 3 */
 bool restarted = false;
 byte sender = NONE, previous_sender = NONE;
 
@@ -50,7 +66,7 @@
 
 inline start(i) {
   up[i] = true; known[i] = (1 << i) | RECORDS; heard[i] = 1 << i;
-  listed[i] = false; established[i] = false; age[i] = 0
+  listed[i] = false; full_list[i] = false; established[i] = false; age[i] = 0
 }
 
 inline add(i, set) {
@@ -65,7 +81,7 @@
   if
   :: in_touch(i, j) && !has(known[i], j) -> add(i, 1 << j)
   :: in_touch(i, j) && has(known[j], i) && !has(heard[i], j) -> add(i, 1 << j); heard[i] = heard[i] | (1 << j)
-  :: in_touch(i, j) && (!listed[i] || knows_more(j, i)) -> listed[i] = true; add(i, known[j])
+  :: in_touch(i, j) && (!listed[i] || knows_more(j, i)) -> listed[i] = true; add(i, known[j]); full_list[i] = full_list[i] || established[j]
   :: else
   fi
 }
@@ -78,7 +94,14 @@
 #ifdef NOHEARING
 #define all_heard(i) true
 #else
-#define all_heard(i) ((known[i] & heard[i]) == known[i])
+#define lost_set(i) ((full_list[i] && cut_off != NONE && cut_off != i && cut_for >= LOST) -> (1 << cut_off) : 0)
+#define all_heard(i) ((known[i] & (heard[i] | lost_set(i))) == known[i])
+#endif
+
+#ifdef LIVEONLY
+#define has_majority(i) true
+#else
+#define has_majority(i) (cut_off != i || cut_for < FRESH)
 #endif
 
 /* Limit.Next, Table.recordColdSYN */
@@ -107,6 +130,10 @@
 
 inline end_tick() {
   previous_sender = sender; sender = NONE;
+  if
+  :: cut_off != NONE && cut_for < FRESH + 3 -> cut_for++
+  :: else
+  fi;
   for (a : 0 .. 2) {
     if
     :: age[a] < HOLD -> age[a]++
@@ -137,7 +164,14 @@
        :: agrees(i, 0) && agrees(i, 1) && agrees(i, 2) -> cuts++; cut_off = i
        :: else
        fi; i = 0 }
-  :: atomic { cut_off != NONE -> cut_off = NONE }
+  :: atomic { cut_off != NONE ->
+#ifndef NOREGAIN
+       if
+       :: cut_for >= FRESH -> age[cut_off] = 0
+       :: else
+       fi;
+#endif
+       cut_off = NONE; cut_for = 0 }
   :: atomic { select(i : 0 .. 2); select(j : 0 .. 2); receive(i, j); i = 0; j = 0 }
   :: atomic { select(i : 0 .. 2);
        if
@@ -146,7 +180,7 @@
        fi; i = 0 }
   :: atomic { select(i : 0 .. 2);
        if
-       :: up[i] && established[i] && age[i] >= HOLD && ranks_first(i) -> send(i)
+       :: up[i] && established[i] && age[i] >= HOLD && has_majority(i) && ranks_first(i) -> send(i)
        :: else
        fi; i = 0 }
   :: atomic { none_overdue -> end_tick() }
