--- a/pkg/steer/choose.go
+++ b/pkg/steer/choose.go
@@ -53,8 +53,9 @@
 )
 
 // chooseServer returns the server with the least cost for a new flow of a
-// service, or nil if there is none, or only cold ones that get no flow now. If f is not nil, it chooses for the next
-// try of f among the servers that have not been tried.
+// service, or nil if there is none, or only cold ones that get no flow now. If f is
+// not nil, it chooses for the next try of f among the servers that have not been
+// tried.
 func (t *Table) chooseServer(now time.Duration, service string, f *flow) *fleet.Server {
 	var best *fleet.Server
 	var bestCost float64
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -8,9 +8,9 @@
 )
 
 // holdIfFull holds the SYN of a new flow if its limiter is full or if SYNs are
-// held that precede it, and reports whether it did. A SYN that is first seen as a retransmission is overdue from
-// the start. If there is no limit and it is too old to be held, it is sent at
-// once.
+// held that precede it, and reports whether it did. A SYN that is first seen as a
+// retransmission is overdue from the start. If there is no limit and it is too old
+// to be held, it is sent at once.
 func (t *Table) holdIfFull(now time.Duration, f *flow, route *fleet.RouteState, p *Packet) bool {
 	l := t.limiter(f.service)
 	f.prepareHold(route, p)
