--- a/internal/marked/feeders.go
+++ b/internal/marked/feeders.go
@@ -20,17 +20,18 @@
 	// tick, so that a start does not fill a small link.
 	greetingsPerTick = 64
 	// initialGreetingInterval is the interval of the greetings of a host that has
-	// not answered yet. It doubles up to maxGreetingInterval.
+	// not answered yet. It doubles up to maxGreetingInterval, which is less than the
+	// hold-down: a host that was cut off learns within that of those that joined.
 	initialGreetingInterval = 2 * peerTickInterval
-	maxGreetingInterval     = 10 * time.Second
+	maxGreetingInterval     = 2 * time.Second
 	// recentAge is the time for which digests name a host first that has become
 	// known.
 	recentAge = 5 * time.Second
 	// maxRecent is the maximum number of such hosts.
 	maxRecent = 256
-	// maxForgottenHosts is the maximum number of forgotten hosts that are accepted
-	// from another host.
-	maxForgottenHosts = 4096
+	// maxListedHosts is the maximum number of forgotten hosts that are accepted from
+	// another host, and of those that count in the majority.
+	maxListedHosts = 4096
 )
 
 // greeting is the role of a digest by which two hosts of a data centre make sure
@@ -69,6 +70,28 @@
 	return membership{Membership: warmup.NewMembership(self), recorded: map[uint64]bool{}}
 }
 
+// needsList reports whether the host still needs the list of another one, if replies
+// have replied.
+func (m *membership) needsList(replies int) bool {
+	return m.limitsCold && (replies == 0 || !m.IsEstablished() && !m.HasFullList())
+}
+
+// fillList adds what a host of this data centre that starts needs to know.
+func (m *membership) fillList(reply *retainedStateReply) {
+	reply.ForgottenHosts = m.Expired()
+	if m.IsEstablished() {
+		reply.Voters = m.Voters()
+	}
+}
+
+// addList adds what another host knows about the hosts of this data centre.
+func (m *membership) addList(now time.Duration, reply *retainedStateReply) {
+	m.AddExpired(now, reply.ForgottenHosts[:min(len(reply.ForgottenHosts), maxListedHosts)])
+	if len(reply.Voters) > 0 {
+		m.RecordFullList(now, reply.Voters[:min(len(reply.Voters), maxListedHosts)])
+	}
+}
+
 // limitsColdServers reports whether a service limits cold servers.
 func limitsColdServers(v *fleet.View) bool {
 	for _, s := range v.Services {
--- a/internal/marked/feeders_test.go
+++ b/internal/marked/feeders_test.go
@@ -75,6 +75,29 @@
 	}
 }
 
+// TestHostsAreQueriedUntilOneReplies guards against a host that never feeds cold
+// servers because the hosts that it queried after its start were not up yet.
+func TestHostsAreQueriedUntilOneReplies(t *testing.T) {
+	for _, limitsCold := range []bool{true, false} {
+		t.Run(fmt.Sprint("limit ", limitsCold), func(t *testing.T) {
+			is := is.New(t)
+			p, c := loadedPeers(t, 10)
+			c.trafficStarted, p.retained.replies, p.membership.limitsCold = true, 0, limitsCold
+			for range maxRetainedQueries + 2 {
+				p.queryRetainedState(testNow, c)
+			}
+			is.Equal(len(p.retained.queried), maxRetainedQueries)
+			p.queryRetainedState(testNow+firstListInterval, c)
+			is.Equal(len(p.retained.queried) == 1, limitsCold)
+			p.retained.replies, p.retained.done = maxRetainedReplies, true // None of them is established.
+			for range 3 {
+				p.queryRetainedState(testNow+2*fullListInterval, c)
+			}
+			is.Equal(p.retained.done, !limitsCold)
+		})
+	}
+}
+
 // TestGreeting checks that a host greets a host that it has not heard from, that a
 // greeting is answered, and that it has no other effect.
 func TestGreeting(t *testing.T) {
@@ -104,6 +127,38 @@
 	is.Equal(from.name, "") // The first other digest counts as that of a host that joins.
 }
 
+// TestListNamesVoters checks that a host that starts learns which hosts count in the
+// majority, and that hosts that have just joined do not.
+func TestListNamesVoters(t *testing.T) {
+	is := is.New(t)
+	p, c := loadedPeers(t, 3)
+	var reply retainedStateReply
+	p.membership.fillList(&reply)
+	is.Equal(len(reply.Voters), 0) // It is not established.
+	p.updateMembership(testNow, c)
+	p.observeHost(testNow, netip.MustParseAddrPort("127.0.9.200:9"), "a", testNow)
+	p.updateHostLists()
+	p.updateMembership(testNow, c)
+	p.membership.fillList(&reply)
+	is.Equal(len(reply.Voters), 4)
+	starting, c := loadedPeers(t, 4)
+	starting.membership.addList(testNow, &reply)
+	starting.updateMembership(testNow, c)
+	is.Equal(len(starting.membership.Hosts()), 5)
+	is.Equal(len(starting.membership.Voters()), 3) // Not the fourth, and not itself.
+}
+
+// TestListOfHostsWithoutLimit guards against lost hosts in the list that a host gets
+// at its start where nothing depends on them: it would expect them to be alive.
+func TestListOfHostsWithoutLimit(t *testing.T) {
+	is := is.New(t)
+	p, _ := loadedPeers(t, 3)
+	later := testNow + initialRecordAge
+	is.Equal(len(p.knownHosts(later)), 6)
+	p.membership.limitsCold = false
+	is.Equal(len(p.knownHosts(later)), 0)
+}
+
 // TestDigestsNameNewHostsFirst guards against hosts that become known to all others
 // only after the hold-down, since digests name a few of hundreds of hosts.
 func TestDigestsNameNewHostsFirst(t *testing.T) {
--- a/internal/marked/retained.go
+++ b/internal/marked/retained.go
@@ -19,6 +19,13 @@
 	// retained state after its start, and maxRetainedReplies that of replies.
 	maxRetainedQueries = 12
 	maxRetainedReplies = 4
+	// firstListInterval is the interval at which hosts are queried again, while none
+	// has replied and the document limits cold servers: a host feeds these only
+	// once it has the list of another one, and after a power failure of all hosts
+	// the first queries may fail. fullListInterval is the interval while none has
+	// replied that knows all hosts of this data centre.
+	firstListInterval = 5 * time.Second
+	fullListInterval  = 20 * time.Second
 	// retainedStatePath is the HTTP path at which peers query the retained state.
 	retainedStatePath = "/remnants"
 )
@@ -28,12 +35,15 @@
 	// UpFor is the time since the replying host started.
 	UpFor         time.Duration       `json:"upFor"`
 	RetainedState fleet.RetainedState `json:"remnants"`
-	// KnownHosts are the hosts that are known, including lost ones, since the store
-	// has the records of a few hosts only.
+	// KnownHosts are the hosts that knownHosts returns, since the store has the records
+	// of a few hosts only.
 	KnownHosts []knownHost `json:"known,omitempty"`
 	// ForgottenHosts are the IDs of hosts of the asking host's data centre that the
 	// replying host has forgotten.
 	ForgottenHosts []uint64 `json:"forgotten,omitempty"`
+	// Voters are the IDs of those that count in the majority that feeds cold servers,
+	// if the replying host is established.
+	Voters []uint64 `json:"voters,omitempty"`
 }
 
 // retainedQueries is the progress of the queries by which a host obtains, after
@@ -44,6 +54,8 @@
 	// those that replied.
 	queried []uint64
 	replies int
+	// nextRoundAt is when hosts are queried again if none has replied.
+	nextRoundAt time.Duration
 	// done is set once a peer has replied that has been running for at least the
 	// maximum duration of a flow. Its state is complete.
 	done bool
@@ -53,6 +65,7 @@
 // this data centre go first: if it is partitioned from the others, its changes
 // reach them first.
 func (p *peers) queryRetainedState(now time.Duration, c *control) {
+	p.startRetainedRound(now)
 	if p.retained.done || p.retained.replies >= maxRetainedReplies || len(p.retained.queried) >= maxRetainedQueries || !c.trafficStarted {
 		return
 	}
@@ -72,6 +85,22 @@
 	go p.host.fetchRetainedState(best.address)
 }
 
+// startRetainedRound lets hosts be queried again if none has replied, or none that
+// knows all hosts of this data centre.
+func (p *peers) startRetainedRound(now time.Duration) {
+	r := &p.retained
+	if !p.membership.needsList(r.replies) || now < r.nextRoundAt {
+		return
+	}
+	r.nextRoundAt = now + firstListInterval
+	if r.replies > 0 {
+		r.nextRoundAt = now + fullListInterval
+		r.replies = min(r.replies, maxRetainedReplies-1) // One more.
+		r.done = false
+	}
+	r.queried = r.queried[:0]
+}
+
 // queriedBefore reports whether a is to be queried before b. The order within
 // and outside this data centre is random.
 func (p *peers) queriedBefore(a, b *peer) bool {
@@ -105,7 +134,7 @@
 	}
 	now := c.host.now()
 	c.peers.addKnownHosts(now, reply.KnownHosts)
-	c.peers.membership.AddExpired(now, reply.ForgottenHosts[:min(len(reply.ForgottenHosts), maxForgottenHosts)])
+	c.peers.membership.addList(now, reply)
 	c.host.log.Info("peers: retained state fetched", zap.Stringer("peer", from), zap.Duration("upFor", reply.UpFor),
 		zap.Int("hosts", len(reply.KnownHosts)),
 		zap.Int("departedServers", len(reply.RetainedState.Servers)), zap.Int("formerTargets", len(reply.RetainedState.Targets)))
@@ -130,8 +159,8 @@
 		now := h.now()
 		c.peers.serveStart(now, from, q.Get("dataCentre"))
 		reply = retainedStateReply{UpFor: now, RetainedState: c.builder.RetainedState(now), KnownHosts: c.peers.knownHosts(now)}
-		if q.Get("dataCentre") == h.settings.DataCentre {
-			reply.ForgottenHosts = c.peers.membership.Expired()
+		if c.peers.membership.limitsCold && q.Get("dataCentre") == h.settings.DataCentre {
+			c.peers.membership.fillList(&reply)
 		}
 	})
 	h.writeCompressed(w, &reply)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -61,6 +61,8 @@
 expect bad warmup NOHOLDDOWN
 expect bad warmup LIVEONLY
 expect bad warmup NOHEARING
+expect bad warmup NOREGAIN
+expect bad warmup SOON
 expect good era
 expect good era TWICE
 expect bad era REVISIONS
