steer: a leaving host sends no SYN to a second server

Cause: a host that had begun to leave still sent a retransmitted SYN to a second server. The flow then opens through another host, which sees one mark and has no pin, while the leaving host does not know where the flow is open.

Change: Table.Leave. From then on a retransmitted SYN goes to the server that got the latest one, unless that server accepts no new flows, is gone, or is cold with a limit. The server still becomes suspect.

Result: TestLeavingHostSendsSYNToOneServer fails in the case "usable server" without the change and passes with it; go test ./pkg/steer and ./internal/marked pass, one run each.

--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -324,7 +323,7 @@
 func (t *traffic) updateTable(now time.Duration) {
 	t.exchangePins(now)
 	if t.leaving.Load() {
-		t.table.ExpectRerouting(math.MaxInt64)
+		t.table.Leave()
 		t.table.HoldDown(now + leavingHoldDown)
 	}
 	t.table.ExpectRerouting(time.Duration(t.reroutingEnd.Load()))
--- a/pkg/steer/resend.go
+++ b/pkg/steer/resend.go
@@ -112,13 +112,19 @@
 	}
 }
 
-// failOver records that the latest server did not answer the SYN of a flow, and
-// returns the next server for it, or nil if none is left.
-func (t *Table) failOver(now time.Duration, f *flow) *fleet.Server {
+// recordUnansweredTry records that the latest server did not answer the SYN of a
+// flow in time.
+func (t *Table) recordUnansweredTry(now time.Duration, f *flow) {
 	if h := t.health[f.triedMarks[f.tries-1]]; h != nil {
 		h.recordUnanswered(now, f.sentAt)
 		t.recordUnansweredSYN(now, f)
 	}
+}
+
+// failOver records that the latest server did not answer the SYN of a flow, and
+// returns the next server for it, or nil if none is left.
+func (t *Table) failOver(now time.Duration, f *flow) *fleet.Server {
+	t.recordUnansweredTry(now, f)
 	s := t.chooseServer(now, f.service, f)
 	if s != nil {
 		t.recordSYNSent(now, f, s)
--- a/pkg/steer/table.go
+++ b/pkg/steer/table.go
@@ -1,8 +1,10 @@
 package steer
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lagoonramp.org/lagoonramp/pkg/fleet"
@@ -95,6 +97,8 @@
 	// reroutingEnd is the time until which routers may move flows of this host
 	// to other hosts.
 	reroutingEnd time.Duration
+	// leaving is set by Leave.
+	leaving      bool
 	resendBuffer [maxSYNSize]byte
 }
 
@@ -166,6 +170,15 @@
 // another server only when the caller retransmits it.
 func (t *Table) ExpectRerouting(end time.Duration) { t.reroutingEnd = max(t.reroutingEnd, end) }
 
+// Leave declares that this host is about to stop, so that routers move all its
+// flows to other hosts. From then on, a retransmitted SYN goes to the server that
+// got the latest one: of a flow that opens through another host, neither host
+// would know both that two servers may answer and where the flow is open.
+func (t *Table) Leave() {
+	t.leaving = true
+	t.ExpectRerouting(math.MaxInt64)
+}
+
 // FlowCount returns the number of flows with state.
 func (t *Table) FlowCount() int { return len(t.flows) }
 
@@ -224,7 +237,8 @@
 // handleRetransmittedSYN sends a retransmitted SYN to the server at which the
 // flow opened. Before that, it sends it to the server that got the latest one, or
 // to another server if that one did not answer in time. Unlike a timeout alone,
-// a retransmission proves that packets of the flow still arrive at this host.
+// a retransmission proves that packets of the flow still arrive at this host. A
+// host that leaves uses another server only if that one may get no new flows.
 func (t *Table) handleRetransmittedSYN(now time.Duration, f *flow, p *Packet) Verdict {
 	f.lastPacketAt = now
 	f.recordSYN(now, p)
@@ -239,7 +253,11 @@
 	if f.pinnedMark == 0 {
 		f.resentByTimeout = false
 		unresponsive := s == nil || now-f.sentAt >= t.estimator(s.DataCentre).timeout()
-		if unresponsive && f.tries < t.settings.MaxTries {
+		staysAtServer := t.leaving && s != nil && t.acceptsNewFlows(now, s)
+		if unresponsive && staysAtServer {
+			t.recordUnansweredTry(now, f)
+		}
+		if unresponsive && !staysAtServer && f.tries < t.settings.MaxTries {
 			if next := t.failOver(now, f); next != nil {
 				return Verdict{Action: Forward, Server: next, Unresponsive: s}
 			}
@@ -251,3 +269,9 @@
 	t.recordColdSYN(now, s, false)
 	return Verdict{Action: Forward, Server: s}
 }
+
+// acceptsNewFlows reports whether a server may get new flows and is not limited as
+// a cold one.
+func (t *Table) acceptsNewFlows(now time.Duration, s *fleet.Server) bool {
+	return slices.Contains(t.view.Usable[s.Service], s) && !t.health[s.Mark].cold.isCold(now)
+}
--- a/pkg/steer/table_test.go
+++ b/pkg/steer/table_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -534,6 +535,43 @@
 	is.Equal(received, []Pin{{Key: key(3), Mark: 2}})
 }
 
+// TestLeavingHostSendsSYNToOneServer guards against an open flow that breaks after a
+// restart, which soak seed 9106 found: the host that left had sent the SYN to a second
+// server, and the host through which the flow opened had no pin to hand over.
+func TestLeavingHostSendsSYNToOneServer(t *testing.T) {
+	withdraw := func(table *Table, s *fleet.Server) {
+		usable := table.view.Usable["desk"]
+		table.view.Usable["desk"] = slices.DeleteFunc(usable, func(other *fleet.Server) bool { return other == s })
+	}
+	for _, tt := range []struct {
+		name string
+		// change alters what the host knows of the server that got the SYN.
+		change func(table *Table, s *fleet.Server)
+		same   bool
+	}{
+		{"usable server", func(*Table, *fleet.Server) {}, true},
+		{"server that gets no new flows", withdraw, false},
+		{"server that is gone", func(table *Table, s *fleet.Server) { withdraw(table, s); delete(table.view.ServersByMark, s.Mark) }, false},
+		{"cold server with a limit", func(table *Table, s *fleet.Server) {
+			c := &table.health[s.Mark].cold
+			c.perSecond, c.until = 1, time.Second
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			leaving, other := newTestTable(1, "a", "b"), newTestTable(1, "a", "b")
+			first := leaving.testSYN(0, 1, 0).Server
+			leaving.Leave()
+			tt.change(leaving, first)
+			is.Equal(leaving.testSYN(200*ms, 1, 1).Server == first, tt.same)
+			is.True(leaving.health[first.Mark].isSuspect()) // New flows avoid it.
+			other.testData(210*ms, 1, first.Mark, 7, 10)
+			own, _ := other.Pins()
+			is.Equal(own, nil) // It cannot know of a second server.
+		})
+	}
+}
+
 // TestFlowOfRetransmittedSYNHasPin guards against an open flow whose pin is not handed
 // over, which soak seed 7019 found: its first SYN went through a host that was
 // stopping, a later one through this host, so two servers may answer, although this
