--- a/internal/marked/traffic.go
+++ b/internal/marked/traffic.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -319,7 +318,7 @@
 func (t *traffic) updateTable(now time.Duration) {
 	t.exchangePins(now)
 	if t.leaving.Load() {
-		t.table.ExpectRerouting(math.MaxInt64)
+		t.table.Leave()
 		t.table.HoldDown(now + leavingHoldDown)
 	}
 	t.table.ExpectRerouting(time.Duration(t.reroutingEnd.Load()))
