--- a/internal/exper/overload.go
+++ b/internal/exper/overload.go
@@ -134,7 +134,10 @@
 	for _, k := range callerKinds {
 		callers += k.count
 	}
-	tally := &overloadTally{callers: make([]overloadCaller, callers), sent: make([]int, len(overloadClasses)), inTime: make([]int, len(overloadClasses)), answerLatencies: hdrhistogram.New(1, 10_000_000, 3)}
+	tally := &overloadTally{
+		callers: make([]overloadCaller, callers), sent: make([]int, len(overloadClasses)), inTime: make([]int, len(overloadClasses)),
+		answerLatencies: hdrhistogram.New(1, 10_000_000, 3),
+	}
 	slots := size.Servers * size.Slots
 	interval := time.Duration(float64(meanOverloadWork()) / load / float64(slots) * float64(size.Hosts))
 	for i := range size.Hosts {
@@ -170,7 +173,8 @@
 
 // newRequest returns a random request.
 func (h *overloadHost) newRequest() *heldRequest {
-	r := &heldRequest{class: h.randomClass(), caller: h.randomCaller(), arrived: h.Now(), counted: h.Now() >= overloadFrom && h.Now() < overloadTo}
+	now := h.Now()
+	r := &heldRequest{class: h.randomClass(), caller: h.randomCaller(), arrived: now, counted: now >= overloadFrom && now < overloadTo}
 	c := overloadClasses[r.class]
 	r.entry = steer.HeldSYN[*heldRequest]{
 		Owner: r, Priority: c.priority,
--- a/internal/marked/era.go
+++ b/internal/marked/era.go
@@ -89,8 +89,9 @@
 	c.host.log.Warn("control: the store was restored from an older copy", zap.String("source", source),
 		zap.Uint64("fromEra", before.Era), zap.Uint64("fromRevision", before.Revision),
 		zap.Uint64("era", version.Era), zap.Uint64("revision", version.Revision), zap.Strings("kept", keys))
-	c.host.events.Add(event.Event{Kind: event.StoreRestored, Revision: c.documentVersion,
-		Cause: fmt.Sprintf("era %d revision %d, before: era %d revision %d; %d items kept", version.Era, version.Revision, before.Era, before.Revision, len(kept))})
+	cause := fmt.Sprintf("era %d revision %d, before: era %d revision %d; %d items kept",
+		version.Era, version.Revision, before.Era, before.Revision, len(kept))
+	c.host.events.Add(event.Event{Kind: event.StoreRestored, Revision: c.documentVersion, Cause: cause})
 	c.peers.scheduleRecordCheck(now)
 }
 
@@ -234,6 +235,7 @@
 	return slices.DeleteFunc(kept, func(k mirror.Kept) bool { return h.isInvalid(from, validateKept(k)) })
 }
 
+// validateKept returns an error if a kept item has no key or an invalid version.
 func validateKept(k mirror.Kept) error {
 	if k.Key == "" || k.Revision == 0 || k.Version().Compare(k.Changed) > 0 {
 		return errors.New("a kept item without a key or with an invalid version")
--- a/internal/marked/peers.go
+++ b/internal/marked/peers.go
@@ -144,7 +144,8 @@
 func newPeers(h *Host, conn *net.UDPConn) *peers {
 	self := peerID(h.settings.PeerAddress)
 	p := &peers{
-		host: h, conn: conn, self: self, byID: map[uint64]*peer{}, idsByDataCentre: map[string][]uint64{}, pinReceivers: map[uint64]pinSet{}, pendingBroadcasts: map[string]*broadcast{}, membership: newMembership(self),
+		host: h, conn: conn, self: self, byID: map[uint64]*peer{}, idsByDataCentre: map[string][]uint64{},
+		pinReceivers: map[uint64]pinSet{}, pendingBroadcasts: map[string]*broadcast{}, membership: newMembership(self),
 		nextAnnounce: firstAnnounceDelay + rand.N(firstAnnounceSpread),
 		gossip:       gossip.New(self, gossip.Settings{FetchTimeout: fetchTimeout}, rand.New(rand.NewPCG(rand.Uint64(), self))),
 		watchers:     gossip.NewWatcherSelector(self, gossip.WatcherSelectorSettings{}),
--- a/internal/marked/resend.go
+++ b/internal/marked/resend.go
@@ -32,7 +32,9 @@
 			break
 		}
 		if r.Server == nil {
-			t.refuseFlow(now, refusal{key: r.Key, reason: r.Reason, priority: r.Priority, waited: r.Waited, evicted: r.Evicted, linkFull: r.LinkFull})
+			t.refuseFlow(now, refusal{
+				key: r.Key, reason: r.Reason, priority: r.Priority, waited: r.Waited, evicted: r.Evicted, linkFull: r.LinkFull,
+			})
 			t.writer.Flush()
 			continue
 		}
--- a/internal/marked/watch.go
+++ b/internal/marked/watch.go
@@ -48,7 +48,8 @@
 		case ctx.Err() != nil:
 			return
 		case !isFirst && !h.needsSnapshot.Load() && h.settings.Decoder.NeedsSnapshot(err):
-			h.log.Info("watch: changes cannot be had, reading a snapshot", zap.Uint64("era", before.Era), zap.Uint64("revision", before.Revision), zap.Error(err))
+			h.log.Info("watch: changes cannot be had, reading a snapshot",
+				zap.Uint64("era", before.Era), zap.Uint64("revision", before.Revision), zap.Error(err))
 			h.needsSnapshot.Store(!errors.Is(err, mirror.ErrHigherEra) || h.awaitSnapshotOfPeer(ctx, before))
 		case errors.Is(err, context.DeadlineExceeded):
 			// The answer is probably lost, so retry without delay.
@@ -79,7 +80,9 @@
 	d := &mirror.Delta{Snapshot: version.Revision == 0 || h.needsSnapshot.Load()}
 	if d.Snapshot {
 		h.snapshotReads.Add(1)
-		d.Items, d.Version, err = h.settings.Store.Read(ctx, func(part []mirror.Item) { h.callControl(func(c *control) { c.addPreview(part) }) })
+		d.Items, d.Version, err = h.settings.Store.Read(ctx, func(part []mirror.Item) {
+			h.callControl(func(c *control) { c.addPreview(part) })
+		})
 	} else {
 		d.Items, d.Version, err = h.settings.Store.Watch(ctx, version, wait, grace)
 		if len(d.Items) == 0 {
--- a/internal/soak/hostfaults.go
+++ b/internal/soak/hostfaults.go
@@ -5,6 +5,7 @@
 	"time"
 )
 
+// randomHost returns a random host.
 func (t *testbed) randomHost() *hostProcess { return t.hosts[t.randomIntN(len(t.hosts))] }
 
 // restartHost terminates a random host with a signal, starts it again after
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -243,7 +243,8 @@
 }
 
 // checkVersion compares the document version in force on a host with the last one
-// seen since its start, and with the last one that was in force on all hosts. It ignores hosts that do not answer.
+// seen since its start, and with the last one that was in force on all hosts. It
+// ignores hosts that do not answer.
 func (t *testbed) checkVersion(client *http.Client, h *hostProcess) {
 	h.mu.Lock()
 	starts := h.starts
--- a/pkg/fleet/builder.go
+++ b/pkg/fleet/builder.go
@@ -120,12 +120,11 @@
 	b.confirmedAt = confirmedAt
 	b.updateServers(now, servers)
 	v := &View{
-		StoreRevision: revision,
-		Routes:        map[netip.AddrPort]*RouteState{},
-		Usable:        map[string][]*Server{},
-		ServersByMark: map[uint32]*Server{},
-		Evacuated:     b.evacuated,
-
+		StoreRevision:     revision,
+		Routes:            map[netip.AddrPort]*RouteState{},
+		Usable:            map[string][]*Server{},
+		ServersByMark:     map[uint32]*Server{},
+		Evacuated:         b.evacuated,
 		EvacuatedServices: map[string]bool{},
 	}
 	if doc != nil {
--- a/pkg/gossip/machine.go
+++ b/pkg/gossip/machine.go
@@ -80,7 +80,10 @@
 	if settings.RetryDelay == 0 {
 		settings.RetryDelay = defaultRetryDelay
 	}
-	return &Machine{settings: settings, self: self, rng: rng, peerVersions: map[uint64]mirror.Version{}, lastFailure: map[uint64]time.Duration{}}
+	return &Machine{
+		settings: settings, self: self, rng: rng,
+		peerVersions: map[uint64]mirror.Version{}, lastFailure: map[uint64]time.Duration{},
+	}
 }
 
 // SetHosts sets the live hosts of the group, including self.
--- a/pkg/mark/mark.go
+++ b/pkg/mark/mark.go
@@ -118,7 +118,7 @@
 	challengedAt time.Duration
 	// quietUntil is the time until which the holder gets no new flows.
 	quietUntil time.Duration
-	// missingSince is when the holder's claim first lacked, or never.
+	// missingSince is when the claims to the mark ended, or never.
 	missingSince time.Duration
 	// isContested reports whether another server claims the mark, and isReported
 	// whether another host reported the holder.
@@ -183,11 +183,12 @@
 	}
 }
 
-// updateHolder returns the holder of a mark after h, which has an empty ID if there
-// was none.
+// updateHolder returns the holder of a mark after an update with the claims in e. h is
+// the holder before, with an empty ID if there was none.
 func (t *Table) updateHolder(now time.Duration, h holder, e contest) holder {
-	change := func(quietLifetimes int) holder {
-		return holder{id: e.first.ID, challengedAt: never, missingSince: never, quietUntil: now + time.Duration(quietLifetimes)*t.lifetime}
+	change := func(lifetimes int) holder {
+		quietUntil := now + time.Duration(lifetimes)*t.lifetime
+		return holder{id: e.first.ID, challengedAt: never, missingSince: never, quietUntil: quietUntil}
 	}
 	switch {
 	case h.id == "" && e.claims == 1:
--- a/pkg/mirror/kept.go
+++ b/pkg/mirror/kept.go
@@ -192,6 +192,8 @@
 	return c > 0 || c == 0 && f.Deleted && f.Revision == shown.Revision
 }
 
+// compare returns Settings.Precedence.Compare. Without Precedence, the item of the
+// higher era always applies.
 func (r *Replica) compare(known, item Item) int {
 	if r.settings.Precedence == nil {
 		return -1
--- a/pkg/mirror/version.go
+++ b/pkg/mirror/version.go
@@ -26,6 +26,6 @@
 	// ErrHigherEra is returned for changes of a higher era than the replica's. They
 	// can only be applied after a snapshot of that era.
 	ErrHigherEra = errors.New("the store was restored, a snapshot of its new era is needed")
-	// ErrLowerEra is the error of an update of a lower era than the replica's.
+	// ErrLowerEra is returned for an answer of a lower era than the replica's.
 	ErrLowerEra = errors.New("the answer is from a lower era of the store")
 )
--- a/pkg/steer/coldserver.go
+++ b/pkg/steer/coldserver.go
@@ -283,7 +283,7 @@
 
 // endDeferredHold refuses or drops a SYN for which no turn comes in time.
 func (t *Table) endDeferredHold(now time.Duration, f *flow) (Resend, bool) {
-	if f.deferUnrefusable(now) {
+	if f.awaitsRetransmission(now) {
 		t.deferUntil(now, f.nextSYNAt+refusalMargin, f)
 		return Resend{}, false
 	}
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -140,9 +140,9 @@
 	return f.synsSeen > 0 && now < f.nextSYNAt-refusalMargin
 }
 
-// deferUnrefusable reports whether the end of a hold must wait until the next
+// awaitsRetransmission reports whether the end of a hold must wait until the next
 // retransmission has arrived or should have, since the flow may be refused then.
-func (f *flow) deferUnrefusable(now time.Duration) bool {
+func (f *flow) awaitsRetransmission(now time.Duration) bool {
 	return f.synsSeen > 0 && !f.canRefuse(now) && now < f.nextSYNAt+refusalMargin
 }
 
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -161,7 +161,7 @@
 	if !t.mustWait(f) {
 		return t.release(now, f)
 	}
-	if f.deferUnrefusable(now) {
+	if f.awaitsRetransmission(now) {
 		t.timers.push(timer{expiresAt: f.nextSYNAt + refusalMargin, flow: f, generation: f.generation, kind: holdTimer})
 		return Resend{}, false
 	}
--- a/pkg/warmup/membership.go
+++ b/pkg/warmup/membership.go
@@ -32,7 +32,7 @@
 }
 
 // Membership decides from when on a host feeds cold servers, by its knowledge of
-// the hosts of its data centre. It answers views that differ:
+// the hosts of its data centre. It addresses hosts that know different things:
 //
 //   - a host that has just started, or that was paused, may not know all hosts: it
 //     feeds servers once it has heard directly from each host that it knows, so that
@@ -75,7 +75,11 @@
 
 // NewMembership returns the Membership of a host that has just started.
 func NewMembership(self uint64) *Membership {
-	return &Membership{self: self, hosts: []uint64{self}, joined: map[uint64]time.Duration{}, voters: map[uint64]bool{}, expired: map[uint64]time.Duration{}, left: map[uint64]bool{}}
+	return &Membership{
+		self: self, hosts: []uint64{self},
+		joined: map[uint64]time.Duration{}, voters: map[uint64]bool{},
+		expired: map[uint64]time.Duration{}, left: map[uint64]bool{},
+	}
 }
 
 // Restart begins a hold-down, because the host was paused or has got its first
