--- a/internal/marked/era_system_test.go
+++ b/internal/marked/era_system_test.go
@@ -39,7 +39,8 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		for _, h := range w.hosts {
 			if !condition(h) {
-				w.t.Fatalf("not at all times: %s: %s has document %d, %d servers, version %v", name, h.Status().Name, h.DocumentVersion(), h.UsableServerCount(), h.StoreVersion())
+				w.t.Fatalf("not at all times: %s: %s has document %d, %d servers, version %v",
+					name, h.Status().Name, h.DocumentVersion(), h.UsableServerCount(), h.StoreVersion())
 			}
 		}
 	}
--- a/internal/marked/testbed_test.go
+++ b/internal/marked/testbed_test.go
@@ -128,7 +128,10 @@
 func (w *testbed) addServer(service string) *stub.Server {
 	w.t.Helper()
 	n := len(w.servers) + 1
-	s := &stub.Server{ID: fmt.Sprintf("i-%010x", n), Service: service, DataCentre: cmp.Or(w.serverDataCentre, localDataCentre), Slots: 3, DropSYNACK: w.dropSYNACK}
+	s := &stub.Server{
+		ID: fmt.Sprintf("i-%010x", n), Service: service, DataCentre: cmp.Or(w.serverDataCentre, localDataCentre),
+		Slots: 3, DropSYNACK: w.dropSYNACK,
+	}
 	if err := w.AddServer(s, w.ServerAddress(n)); err != nil {
 		w.t.Fatal(err)
 	}
--- a/pkg/steer/admission_test.go
+++ b/pkg/steer/admission_test.go
@@ -64,7 +64,9 @@
 	v := testView("a", "a", "a", "a", "a", "a", "a", "a", "a", "a")
 	clear(v.Routes)
 	for i, l := range loads {
-		v.Routes[burstRoute(l.route)] = &fleet.RouteState{Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: burstObjective, Timeout: burstTimeout, Priority: l.priority}
+		v.Routes[burstRoute(l.route)] = &fleet.RouteState{
+			Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: burstObjective, Timeout: burstTimeout, Priority: l.priority,
+		}
 		w.arrive(i, 0)
 	}
 	w.table.SetView(0, v)
@@ -102,7 +104,8 @@
 			return
 		}
 		address := netip.AddrFrom4([4]byte{100, 64, byte(load), byte(w.rng.IntN(l.callers))})
-		f := &burstFlow{key: Key{Caller: netip.AddrPortFrom(address, uint16(1024+n)), Service: burstRoute(l.route)}, load: load, start: w.Now(), counted: w.inBurst()}
+		key := Key{Caller: netip.AddrPortFrom(address, uint16(1024+n)), Service: burstRoute(l.route)}
+		f := &burstFlow{key: key, load: load, start: w.Now(), counted: w.inBurst()}
 		w.flows[f.key] = f
 		if f.counted {
 			w.results[load].sent++
@@ -167,9 +170,8 @@
 }
 
 // TestBurstIsAtItsOwnExpense guards against a burst of one route, priority or
-// caller that displaces the others. The first load must be served in time;
-// newest first alone
-// serves 0.42 to 0.86 of it.
+// caller that displaces the others. The first load must be served in time; newest
+// first alone serves 0.42 to 0.86 of it.
 func TestBurstIsAtItsOwnExpense(t *testing.T) {
 	for _, c := range []struct {
 		name         string
@@ -265,7 +267,9 @@
 		is := is.New(t)
 		rng := rand.New(rand.NewPCG(seed, 5))
 		table := newOverloadedTable(seed)
-		table.view.Routes[burstRoute(1)] = &fleet.RouteState{Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: 250 * ms, Timeout: 3 * time.Second, Priority: 1}
+		table.view.Routes[burstRoute(1)] = &fleet.RouteState{
+			Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: 250 * ms, Timeout: 3 * time.Second, Priority: 1,
+		}
 		l := table.limiter("desk")
 		if seed%2 == 1 {
 			table.link.setRate(2000) // SYNs wait for the link, too.
@@ -285,7 +289,10 @@
 			case 2, 3:
 				table.HandlePacket(now, &Packet{Key: k, Mark: mark, Ack: uint32(n), Length: n, FIN: n == 1, Reset: n == 2}, rawSYN)
 			default:
-				table.HandlePacket(now, &Packet{Key: k, Sequence: uint32(rng.IntN(2)), SYN: true, Retransmits: n, SinceFirst: testSYNTimes[n], UntilNext: testSYNTimes[n+1] - testSYNTimes[n]}, rawSYN)
+				table.HandlePacket(now, &Packet{
+					Key: k, Sequence: uint32(rng.IntN(2)), SYN: true,
+					Retransmits: n, SinceFirst: testSYNTimes[n], UntilNext: testSYNTimes[n+1] - testSYNTimes[n],
+				}, rawSYN)
 			}
 			for _, ok := table.NextResend(now); ok; _, ok = table.NextResend(now) {
 			}
--- a/pkg/steer/evacuation_test.go
+++ b/pkg/steer/evacuation_test.go
@@ -155,7 +155,10 @@
 		for _, spread := range []time.Duration{0, time.Second} {
 			t.Run(fmt.Sprint(load, spread), func(t *testing.T) {
 				is := is.New(t)
-				plan := loadPlan{hosts: 20, servers: 45, slots: 2, workTime: 25 * ms, maxAnswerTime: 500 * ms, callerTimeout: 3 * time.Second, duration: 10 * time.Second}
+				plan := loadPlan{
+					hosts: 20, servers: 45, slots: 2, workTime: 25 * ms, maxAnswerTime: 500 * ms,
+					callerTimeout: 3 * time.Second, duration: 10 * time.Second,
+				}
 				plan.rate = load * float64(plan.servers*plan.slots) / plan.workTime.Seconds()
 				w := newLoadSim(plan, 1, plan.hosts)
 				for i, s := range w.view.Usable["desk"] {
--- a/pkg/steer/link_test.go
+++ b/pkg/steer/link_test.go
@@ -39,7 +39,9 @@
 	v := testView("a")
 	v.Usable["desk"][0].Slots = 10_000 // Only the link limits.
 	for n := range 2 {
-		v.Routes[burstRoute(n)] = &fleet.RouteState{Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: 1500 * ms, Timeout: 12 * time.Second}
+		v.Routes[burstRoute(n)] = &fleet.RouteState{
+			Targets: []fleet.Target{{Service: "desk", Weight: 1}}, Objective: 1500 * ms, Timeout: 12 * time.Second,
+		}
 	}
 	w.table.SetView(0, v)
 	rng := rand.New(rand.NewPCG(seed, 4))
--- a/pkg/warmup/scheme_test.go
+++ b/pkg/warmup/scheme_test.go
@@ -37,15 +37,15 @@
 	demandsUntil time.Duration
 }
 
-// scheme simulates one cold server and the hosts of its data centre. The rest are
-// mutations, which the check must find.
+// scheme simulates one cold server and the hosts of its data centre.
 type scheme struct {
-	rng                                                             *rand.Rand
-	settings                                                        Settings
-	perSecond                                                       float64
-	hosts                                                           []*simHost
-	sends                                                           []time.Duration
-	fullDemand                                                      bool
+	rng        *rand.Rand
+	settings   Settings
+	perSecond  float64
+	hosts      []*simHost
+	sends      []time.Duration
+	fullDemand bool
+	// Each of these leaves out a rule of the scheme (TestCheckFindsMutations).
 	noHoldDown, liveOnly, noHearing, noMajority, noRecords, anyList bool
 	// records maps the hosts that have a record in the store to when it expires.
 	records           map[int]time.Duration
@@ -54,7 +54,10 @@
 }
 
 func newScheme(seed uint64, n, spare int, perSecond float64) *scheme {
-	w := &scheme{rng: rand.New(rand.NewPCG(seed, 21)), settings: Settings{Overage: 1.5, Slack: 5}, perSecond: perSecond, faults: map[string]int{}, records: map[int]time.Duration{}}
+	w := &scheme{
+		rng: rand.New(rand.NewPCG(seed, 21)), settings: Settings{Overage: 1.5, Slack: 5}, perSecond: perSecond,
+		faults: map[string]int{}, records: map[int]time.Duration{},
+	}
 	for range n + spare {
 		w.hosts = append(w.hosts, &simHost{})
 	}
@@ -76,7 +79,11 @@
 func (w *scheme) start(now time.Duration, i int) {
 	h := w.hosts[i]
 	side := h.side
-	*h = simHost{member: NewMembership(uint64(i + 1)), up: true, side: side, known: make([]Host, len(w.hosts)), learn: make([]time.Duration, len(w.hosts)), listAt: now + w.duration(maxLearnTime), nextRecord: now + 4*time.Second + w.duration(2*time.Second)}
+	*h = simHost{
+		member: NewMembership(uint64(i + 1)), up: true, side: side,
+		known: make([]Host, len(w.hosts)), learn: make([]time.Duration, len(w.hosts)),
+		listAt: now + w.duration(maxLearnTime), nextRecord: now + 4*time.Second + w.duration(2*time.Second),
+	}
 	h.limit.Start(now)
 }
 
@@ -229,7 +236,11 @@
 
 // fault injects a random fault.
 func (w *scheme) fault(now time.Duration) {
-	name := []string{"kill", "restart", "join", "rack joins", "pause", "pauses", "partition", "heal", "power failure", "leave", "server restarts", "return", "side power failure"}[w.rng.IntN(13)]
+	names := []string{
+		"kill", "restart", "join", "rack joins", "pause", "pauses", "partition", "heal", "power failure", "leave",
+		"server restarts", "return", "side power failure",
+	}
+	name := names[w.rng.IntN(len(names))]
 	w.faults[name]++
 	victim := w.hosts[w.rng.IntN(len(w.hosts))]
 	switch name {
