Write documents and entries of cold servers by the stand-in

Cause: a test of internal/marked spelled fields of the platform's protocol. Change: it uses the stand-in's routes and servers. Result: its tests pass with the race detector.

--- a/internal/marked/coldserver_test.go
+++ b/internal/marked/coldserver_test.go
@@ -1,7 +1,6 @@
 package marked_test
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,14 +19,16 @@
 // entry-desk.
 func (w *testbed) limitColdServers(rate float64) {
 	w.version += 3
-	doc := stub.Document(w.version, stub.Route{Address: entryRoute, Service: "entry-desk"}, stub.Route{Address: pressRoute, Service: "catalogue-press"})
-	limited := fmt.Appendf(nil, `{"Name":"entry-desk","WarmupS":60,"WarmupPerS":%v}`, rate)
-	w.Store.Put("op/config", bytes.Replace(doc, []byte(`{"Name":"entry-desk"}`), limited, 1))
+	w.Store.Put("op/config", stub.Document(w.version,
+		stub.Route{Address: entryRoute, Service: "entry-desk", Warmup: time.Minute, WarmupRate: rate},
+		stub.Route{Address: pressRoute, Service: "catalogue-press"}))
 }
 
 // makeCold writes an entry that says that a server remains cold for a minute.
 func (w *testbed) makeCold(s *stub.Server) {
-	w.Store.Put(s.Key(), bytes.Replace(s.Entry("ready"), []byte(`"WarmupLeftMs":0`), []byte(`"WarmupLeftMs":60000`), 1))
+	s.Warmup = time.Minute
+	s.MakeCold()
+	w.Store.Put(s.Key(), s.Entry("ready"))
 }
 
 // metric returns the sum over all hosts of a metric.
