Reword two comments of the order of service

Cause: they spoke of measuring where they describe counters of the running host. Change: comments only. Result: vet and the tests of pkg/steer pass.

--- a/pkg/steer/excess.go
+++ b/pkg/steer/excess.go
@@ -24,10 +24,10 @@
 type releaseMeter struct {
 	windowStart time.Duration
 	count       int
-	// rates holds the releases per second of the latest two complete windows, of
-	// which complete have been measured. The higher one counts, so that a short
-	// stall refuses nothing.
-	rates    [2]float64
+	// rates holds the releases per second of the latest two complete windows. The
+	// higher one counts, so that a short stall refuses nothing.
+	rates [2]float64
+	// complete is the number of complete windows so far.
 	complete int
 }
 
--- a/pkg/steer/link.go
+++ b/pkg/steer/link.go
@@ -10,7 +10,7 @@
 
 const (
 	// linkBucket and linkBuckets divide the window over which the load of the host's
-	// link is measured, 200 ms: about as much as routers and callers queue before
+	// link counts, 200 ms: about as much as routers and callers queue before
 	// they lose packets.
 	linkBucket  = 50 * time.Millisecond
 	linkBuckets = 4
