Review: flows are reset by other servers after hosts are added

Of 2,000 open flows, a sixth lost one SYN+ACK at its start; after five hosts are added to a zone of 27, 9 to 15 of the flows are reset by a server at which they are not open.

--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -72,7 +72,7 @@
 		"name": fmt.Sprintf("h%d", n), "dataCentre": dataCentre,
 		"marked": map[string]any{
 			"packets": a.Packets.String(), "ready": a.Ready.String(), "peer": a.Peer.String(), "admin": a.Admin.String(),
-			"store": store, "seeds": []string{b.HostAddresses(1).Peer.String()}, "flowLifetime": "60s", "grace": "6s",
+			"store": store, "seeds": []string{b.HostAddresses(1).Peer.String()}, "flowLifetime": "60s", "warmupOverage": 1.5, "warmupSlack": 5, "grace": "6s",
 		},
 	}
 	data, err := json.Marshal(settings)
--- a/review/stand/secondmark.go
+++ b/review/stand/secondmark.go
@@ -21,37 +21,69 @@
 // the host chose.
 
 const (
-	// hostCount: one host of seven is less than the share 0.16 that the site file kills.
-	hostCount    = 7
-	sessionCount = 400
-	// lossInterval: of so many flows, one loses its first SYN-ACK.
-	lossInterval = 10
-	openInterval = 2 * time.Millisecond
-	// killPause is the time between the first and the second request of a flow, if a
-	// host is killed: all second requests come while it is down and out of rotation.
-	killPause = 4200 * time.Millisecond
-	// minRollPause and maxRollPause are the bounds of the same time if hosts restart.
-	minRollPause = 1500 * time.Millisecond
-	maxRollPause = 8 * time.Second
-	killDelay    = 1200 * time.Millisecond
+	openInterval = time.Millisecond
+	// idleTime is the time from the last first request to the disruption.
+	idleTime = 1200 * time.Millisecond
 	// downTime is that of the disruption node_kill in the site file.
 	downTime = 3500 * time.Millisecond
-	// rolledHosts of the hosts are a share of 0.43, and rollGap is the pause between
+	// rolledHosts of seven hosts are a share of 0.43, and rollGap is the pause between
 	// two of them. The site file has a share of 0.45 and 1.3 s.
-	rolledHosts  = 3
-	rollGap      = 1300 * time.Millisecond
+	rolledHosts = 3
+	rollGap     = 1300 * time.Millisecond
+	// joiningHosts is the number of spare hosts of a zone of the site file.
+	joiningHosts = 5
+	idleStep     = 20 * time.Millisecond
 	requestWork  = 10 * time.Millisecond
 	answerSize   = 2000
-	callDeadline = 4 * time.Second
+	callDeadline = 3 * time.Second
+	// warmupDuration is that of the site file, and warmupRate the number of requests a
+	// second that a cold server bears.
+	warmupDuration = 2 * time.Second
+	warmupRate     = 30
 )
 
+// scenario is a disruption of hosts while callers keep flows open.
+type scenario struct {
+	// hosts and sessions are the numbers of hosts and of flows. One flow in
+	// lossInterval loses a datagram.
+	hosts, sessions, lossInterval int
+	// modulo selects the hash of the routers.
+	modulo  bool
+	disrupt func(*bed) error
+	// Second requests are sent at random times from resumeAfter to resumeBefore after
+	// the beginning of the disruption.
+	resumeAfter, resumeBefore time.Duration
+}
+
+func init() {
+	// A zone of the site file has 27 hosts and 5 spare ones.
+	join := scenario{
+		hosts: 27, sessions: 2000, lossInterval: 6, disrupt: (*bed).joinHosts,
+		resumeAfter: 800 * time.Millisecond, resumeBefore: 2500 * time.Millisecond,
+	}
+	// One host of seven is less than the share 0.16 that the site file kills. All second
+	// requests come while it is down and out of rotation.
+	kill := scenario{
+		hosts: 7, sessions: 400, lossInterval: 10, disrupt: (*bed).killForAWhile,
+		resumeAfter: 1800 * time.Millisecond, resumeBefore: 3 * time.Second,
+	}
+	roll := scenario{
+		hosts: 7, sessions: 400, lossInterval: 10, modulo: true, disrupt: (*bed).restartInTurn,
+		resumeAfter: 500 * time.Millisecond, resumeBefore: 6 * time.Second,
+	}
+	for name, s := range map[string]scenario{"join": join, "kill": kill, "rollingRestart": roll} {
+		cases[name] = s.run
+	}
+}
+
 var feedRoute = netip.MustParseAddrPort("198.18.0.1:443")
 
-// lossSelector drops the first SYN-ACK of every lossInterval-th flow.
+// lossSelector drops the first SYN-ACK of one in so many flows.
 type lossSelector struct {
-	mu      sync.Mutex
-	seen    map[netip.AddrPort]bool
-	dropped int
+	interval int
+	mu       sync.Mutex
+	seen     map[netip.AddrPort]bool
+	dropped  int
 }
 
 func (l *lossSelector) drop(caller netip.AddrPort) bool {
@@ -61,7 +93,7 @@
 		return false
 	}
 	l.seen[caller] = true
-	if len(l.seen)%lossInterval != 0 {
+	if len(l.seen)%l.interval != 0 {
 		return false
 	}
 	l.dropped++
@@ -71,25 +103,16 @@
 // resetMark finds the mark of a reset in the detail of an outcome.
 var resetMark = regexp.MustCompile(`mark of the reset ([0-9a-f]{8})`)
 
-func init() {
-	cases["secondMark"] = func(r *record) (bool, error) {
-		return runSecondMark(r, false, (*bed).killForAWhile, func() time.Duration { return killPause })
-	}
-	cases["rollingRestart"] = func(r *record) (bool, error) {
-		return runSecondMark(r, true, (*bed).restartInTurn, func() time.Duration { return minRollPause + rand.N(maxRollPause-minRollPause) })
-	}
-}
-
-// runSecondMark opens flows and sends a request on each before a disruption, and one
-// after a pause. modulo selects the hash of the routers.
-func runSecondMark(r *record, modulo bool, disrupt func(*bed) error, pause func() time.Duration) (bool, error) {
+// run opens flows and sends a request on each before the disruption, and one after it
+// has begun.
+func (c scenario) run(r *record) (bool, error) {
 	b, err := newBed(r, 41)
 	if err != nil {
 		return false, err
 	}
 	defer b.close()
-	b.Router.Modulo = modulo
-	loss := &lossSelector{seen: map[netip.AddrPort]bool{}}
+	b.Router.Modulo = c.modulo
+	loss := &lossSelector{interval: c.lossInterval, seen: map[netip.AddrPort]bool{}}
 	for n := 1; n <= 8; n++ {
 		s, err := b.addServer(n, "entry-desk", "sapporo", 3)
 		if err != nil {
@@ -98,9 +121,9 @@
 		s.DropSYNACK = loss.drop
 	}
 	b.PutDocument(1, stub.Route{
-		Name: "feed", Address: feedRoute, Service: "entry-desk", Kind: "safe", Priority: 2, Timeout: 4 * time.Second, Objective: 250 * time.Millisecond,
+		Name: "feed", Address: feedRoute, Service: "entry-desk", Kind: "safe", Priority: 2, Timeout: 3 * time.Second, Objective: 500 * time.Millisecond, Warmup: warmupDuration, WarmupRate: warmupRate,
 	})
-	for n := 1; n <= hostCount; n++ {
+	for n := 1; n <= c.hosts; n++ {
 		if _, err := b.addHost(n, "sapporo", b.StoreAddress); err != nil {
 			return false, err
 		}
@@ -109,16 +132,20 @@
 		return false, err
 	}
 	var group sync.WaitGroup
-	results := make([]string, sessionCount)
-	broken := make([]bool, sessionCount)
-	for i := range sessionCount {
-		group.Go(func() { results[i], broken[i] = b.playSession(i, pause()) })
+	results := make([]string, c.sessions)
+	broken := make([]bool, c.sessions)
+	disruption := make(chan struct{})
+	for i := range c.sessions {
+		group.Go(func() {
+			results[i], broken[i] = b.playSession(i, disruption, c.resumeAfter+rand.N(c.resumeBefore-c.resumeAfter))
+		})
 		time.Sleep(openInterval)
 	}
-	r.printf("%d flows are open, of %d of them the first SYN-ACK was lost", sessionCount, loss.dropped)
+	time.Sleep(idleTime)
+	r.printf("%d flows are open, of %d of them the first SYN-ACK was lost", c.sessions, loss.dropped)
+	close(disruption)
 	if hasTrouble() {
-		time.Sleep(killDelay)
-		if err := disrupt(b); err != nil {
+		if err := c.disrupt(b); err != nil {
 			return false, err
 		}
 	}
@@ -134,7 +161,7 @@
 	for text, n := range counts {
 		r.printf("%4d flows: %s", n, text)
 	}
-	r.printf("%d of %d flows broke: a server reset them that is not theirs, while theirs lived without disruption", count, sessionCount)
+	r.printf("%d of %d flows broke: a server reset them that is not theirs, while theirs lived without disruption", count, c.sessions)
 	return count > 0, nil
 }
 
@@ -166,9 +193,22 @@
 	return nil
 }
 
-// playSession opens a flow, sends two requests with a pause between them, and reports
-// how the flow ended, and whether another server than that of the flow reset it.
-func (b *bed) playSession(i int, pause time.Duration) (text string, broken bool) {
+// joinHosts adds hosts, as add_nodes does.
+func (b *bed) joinHosts() error {
+	first := len(b.hosts) + 1
+	for n := first; n < first+joiningHosts; n++ {
+		if _, err := b.addHost(n, "sapporo", b.StoreAddress); err != nil {
+			return err
+		}
+	}
+	b.record.printf("%d hosts are added", joiningHosts)
+	return nil
+}
+
+// playSession opens a flow and sends two requests, the second one some time after
+// disruption is closed. It reports how the flow ended, and whether another server than
+// that of the flow reset it.
+func (b *bed) playSession(i int, disruption <-chan struct{}, delay time.Duration) (text string, broken bool) {
 	s, result := b.Caller.Open(feedRoute, 2*time.Second)
 	if s == nil {
 		return "not opened: " + result.String(), false
@@ -178,8 +218,19 @@
 	if first.Result != stub.Answered {
 		return "first request: " + first.Result.String(), false
 	}
-	if !s.Wait(pause) {
-		return "reset while idle", false
+	for waiting := true; waiting; {
+		select {
+		case <-disruption:
+			waiting = false
+		default:
+		}
+		step := idleStep
+		if !waiting {
+			step = delay
+		}
+		if !s.Wait(step) {
+			return "reset while idle", false
+		}
 	}
 	second := s.Do(fmt.Sprintf("q%d-2", i), answerSize, requestWork, callDeadline)
 	if second.Result != stub.Broken {
