--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 # after the build of deploy/system.toml.
 set -e
 go build -tags review -o target/review-stand ./review/stand
+go build -tags review -o target/review-mild ./review/mild
